--- /dev/null
+++ b/topazbank/net/sidecar.py
@@ -0,0 +1,366 @@
+"""The driver: hands events to the balancer and carries its actions out.  It has no opinions of its own.
+
+It owns the clock, the balancer, the requests that are live and the timers.  Nothing is awaited between a
+decision and its effect.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import logging
+import time
+from collections import deque
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from functools import partial
+from typing import Any
+
+import h11
+
+from topazbank.balancer import Balancer
+from topazbank.interface import (
+    Action,
+    AttemptEnded,
+    Cancel,
+    CloseIdle,
+    Event,
+    Fail,
+    FetchList,
+    Follow,
+    ListKind,
+    Log,
+    Outcome,
+    Probe,
+    ProbeEnded,
+    Refuse,
+    Repeat,
+    ReportSource,
+    RequestArrived,
+    RequestGone,
+    Send,
+    ServersListed,
+    SetTimer,
+    Settings,
+    TimerFired,
+)
+from topazbank.interface import Discovery as DiscoveryMode
+from topazbank.net import upstream
+from topazbank.net.discovery import Discovery, Told
+from topazbank.net.frontend import Call, Frontend, Hooks
+from topazbank.net.upstream import Address, Exchange, Headers, Response
+
+log = logging.getLogger(__name__)
+
+_ACCEPT_S = 0.5  # after SIGTERM, how long connections are still taken: they come for 0.4 s
+_LINGER_S = 0.65  # and how much longer than the longest deadline all may last
+_DEADLINE_MOST_S = 3.0  # the platform waits for no longer deadline than this
+_DRAIN_STEP_S = 0.02  # how often a drain looks at what is left
+_LAG_EVERY_S = 0.25  # how often the event loop's lag is looked at
+_LAG_TOLD_S = 0.05  # and from when on it is logged
+_PUSHED_AGAIN_S = 0.5  # before a failed call to the agent that holds pushed lists is made again
+_ABOUT_BODY = (b"content-type", b"content-encoding")  # of a server's headers, these go to the client
+_FDS_KEPT = 64  # descriptors left for discovery, logs and the runtime
+
+
+class Clock:
+    """Microseconds of Unix time, anchored once: monotonic, and comparable with discovery's `since_ms`."""
+
+    def __init__(self) -> None:
+        self._offset_us = time.time_ns() // 1000 - time.monotonic_ns() // 1000
+
+    def now(self) -> int:
+        return time.monotonic_ns() // 1000 + self._offset_us
+
+    def on_loop(self, at_us: int) -> float:
+        """A clock time as the event loop counts it."""
+        return (at_us - self._offset_us) / 1e6
+
+
+@dataclass(slots=True, eq=False)
+class Live:
+    """A request that is not over: unanswered, or with attempts still out."""
+
+    ident: int
+    call: Call
+    answer_by: int
+    answered: bool = False
+    sent: int = 0  # attempts so far
+    out: dict[int, Exchange | None] = field(default_factory=dict)  # those that have not ended, by number
+    backstop: asyncio.TimerHandle | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """All that a sidecar is told."""
+
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    settings: Settings
+    known: Told
+
+
+class Sidecar:
+    """One sidecar: a balancer and the sockets round it."""
+
+    def __init__(self, config: Config) -> None:
+        self._settings = settings = config.settings
+        self._clock = Clock()
+        self._balancer = Balancer(settings, config.seed)
+        self._live: dict[int, Live] = {}
+        self._by_call: dict[Call, Live] = {}
+        self._idents = itertools.count(1)
+        self._events: deque[Event] = deque()
+        self._handling = False
+        half = max((config.sockets - _FDS_KEPT) // 2, 1)
+        limits = settings.limits
+        self._upstream = upstream.Upstream(limits.dial_timeout_us / 1e6, limits.idle_close_us / 1e6, half)
+        self._known = config.known
+        self._discovery = Discovery(config.discovery, config.known.version, self._told)
+        keyed = frozenset(each.name for each in settings.classes if each.repeat is Repeat.KEYED)
+        self.frontend = Frontend(config.listen, half, Hooks(self._taken, self._gone, self._is_ready), keyed)
+        self._carry: dict[type[Any], Callable[[Any], None]] = {
+            Send: self._send,
+            Refuse: self._refuse,
+            Fail: self._fail,
+            Cancel: self._cancel,
+            SetTimer: self._set_timer,
+            Probe: self._probe,
+            CloseIdle: lambda action: self._upstream.close_idle(action.server),
+            Follow: lambda action: self._discovery.follow(action.wanted),
+            FetchList: lambda _: self._discovery.fetch(),
+            Log: lambda action: log.info("%s", action.text),
+        }
+
+    # -- Life -----------------------------------------------------------------------------------------
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Serve until `stop`, then answer all that is held and return."""
+        self._list(ListKind.REMEMBERED, self._known)
+        if self._settings.discovery is DiscoveryMode.PUSHED:
+            self._discovery.follow(True)
+        self.frontend.start()
+        lag = asyncio.get_running_loop().create_task(self._watch_lag())
+        await stop.wait()
+        await self._drain()
+        lag.cancel()
+        self._discovery.stop()
+        await self._upstream.close()
+
+    async def _drain(self) -> None:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        log.info("draining: %d requests held", len(self._by_call))
+        self.frontend.drain()
+        longest = max(each.deadline_us for each in self._settings.classes) / 1e6
+        last = began + min(longest, _DEADLINE_MOST_S) + _LINGER_S
+        while loop.time() < began + _ACCEPT_S:
+            await asyncio.sleep(_DRAIN_STEP_S)
+            self.frontend.close_idle(used=True)
+        self.frontend.stop()
+        while not self.frontend.is_empty() and loop.time() < last:
+            await asyncio.sleep(_DRAIN_STEP_S)
+            self.frontend.close_idle(used=loop.time() < began + _LINGER_S)
+        for live in list(self._by_call.values()):
+            self._answer(live, 500, [], b"")
+        log.info("drained")
+
+    async def _watch_lag(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            due = loop.time() + _LAG_EVERY_S
+            await asyncio.sleep(_LAG_EVERY_S)
+            late = loop.time() - due
+            if late > _LAG_TOLD_S:
+                log.warning("the event loop was %.0f ms late", late * 1000)
+
+    def _is_ready(self) -> bool:
+        return not self.frontend.draining
+
+    # -- Events in, actions out -----------------------------------------------------------------------
+
+    def handle(self, event: Event) -> None:
+        """Play an event, and those that its actions cause, in order."""
+        self._events.append(event)
+        if self._handling:
+            return
+        self._handling = True
+        try:
+            while self._events:
+                self._play(self._events.popleft())
+        finally:
+            self._handling = False
+
+    def _play(self, event: Event) -> None:
+        try:
+            actions: Sequence[Action] = self._balancer.handle(self._clock.now(), event)
+        except Exception:
+            log.exception("the balancer failed on %.200r", event)
+            self._give_up(getattr(event, "request", None))
+            return
+        for action in actions:
+            try:
+                self._carry[type(action)](action)
+            except Exception:
+                log.exception("could not carry out %.200r", action)
+                self._give_up(getattr(action, "request", None))
+
+    def _give_up(self, ident: int | None) -> None:
+        """Guards against a defect that would leave its request unanswered: it fails."""
+        live = self._live.get(ident) if ident is not None else None
+        if live is not None:
+            self._answer(live, 500, [], b"")
+            for attempt in list(live.out.values()):
+                if attempt is not None:
+                    self._upstream.cancel(attempt)
+
+    # -- Requests -------------------------------------------------------------------------------------
+
+    def _taken(self, call: Call) -> None:
+        live = Live(next(self._idents), call, self._clock.now() + call.budget_us)
+        self._live[live.ident] = self._by_call[call] = live
+        at = self._clock.on_loop(live.answer_by)
+        live.backstop = asyncio.get_running_loop().call_at(at, self._give_up, live.ident)
+        self.handle(
+            RequestArrived(
+                live.ident,
+                call.service_class,
+                call.tenant,
+                call.key,
+                call.budget_us,
+                call.cost_us,
+                call.again,
+            )
+        )
+
+    def _gone(self, call: Call) -> None:
+        live = self._by_call.pop(call, None)
+        if live is not None and not live.answered:
+            self._mark_answered(live)
+            self.handle(RequestGone(live.ident))
+
+    def _answer(self, live: Live, status: int, headers: Headers, body: bytes) -> None:
+        if live.answered:
+            return
+        self._mark_answered(live)
+        live.call.answer(status, headers, body)
+
+    def _mark_answered(self, live: Live) -> None:
+        live.answered = True
+        self._by_call.pop(live.call, None)
+        if live.backstop is not None:
+            live.backstop.cancel()
+        for attempt in list(live.out.values()):
+            if attempt is not None:
+                self._upstream.unsend(attempt)  # nothing is sent for a request that is over
+        self._forget_if_over(live)
+
+    def _forget_if_over(self, live: Live) -> None:
+        if live.answered and not live.out:
+            self._live.pop(live.ident, None)
+
+    def _refuse(self, action: Refuse) -> None:
+        live = self._live.get(action.request)
+        if live is not None:
+            wait = (
+                [(b"Retry-After", b"%.3f" % (action.retry_after_us / 1e6))] if action.retry_after_us else []
+            )
+            self._answer(live, 503, wait, b"")
+
+    def _fail(self, action: Fail) -> None:
+        live = self._live.get(action.request)
+        if live is not None:
+            self._answer(live, 500, [], b"")
+
+    # -- Attempts -------------------------------------------------------------------------------------
+
+    def _send(self, action: Send) -> None:
+        live = self._live.get(action.request)
+        index = live.sent if live is not None else 0
+        if live is None or live.answered:
+            if live is not None:
+                live.sent += 1
+            self.handle(AttemptEnded(action.request, index, action.server, Outcome.UNSENT, 0, True))
+            return
+        live.sent += 1
+        live.out[index] = None
+        until = self._clock.on_loop(min(action.until or live.answer_by, live.answer_by))
+        ended = partial(self._attempt_ended, live, index, action.server, self._clock.now())
+        order = upstream.Order(partial(_head, live.call), live.call.body)
+        try:
+            exchange = self._upstream.send(action.server, order, until, ended)
+        except Exception:
+            ended(Outcome.DROPPED, None)  # a defect; nobody knows how far it went
+            raise
+        if index in live.out:
+            live.out[index] = exchange
+
+    def _attempt_ended(
+        self, live: Live, index: int, server: str, sent_at: int, outcome: Outcome, response: Response | None
+    ) -> None:
+        if index not in live.out:
+            return
+        del live.out[index]
+        if outcome is Outcome.DELIVERED and response is not None:
+            about_body = [each for each in response.headers if each[0] in _ABOUT_BODY]
+            self._answer(live, 200, about_body, response.body)
+        elapsed = self._clock.now() - sent_at
+        report = self._report(response)
+        self._forget_if_over(live)
+        self.handle(AttemptEnded(live.ident, index, server, outcome, elapsed, live.answered, report))
+
+    def _report(self, response: Response | None) -> dict[str, float] | None:
+        if response is None:
+            return None
+        return upstream.parse_report(response.header(b"x-load-report"), self._settings.report_columns)
+
+    def _cancel(self, action: Cancel) -> None:
+        live = self._live.get(action.request)
+        attempt = live.out.get(action.attempt) if live is not None else None
+        if attempt is not None:
+            self._upstream.cancel(attempt)
+
+    def _probe(self, action: Probe) -> None:
+        reports = self._settings.report_source is not ReportSource.SILENT
+        ended = partial(self._probed, action.server, self._clock.now())
+        self._upstream.probe(action.server, "/stats" if reports else "/health/live", ended)
+
+    def _probed(self, server: str, sent_at: int, outcome: Outcome, response: Response | None) -> None:
+        report = None
+        if response is not None and outcome is Outcome.DELIVERED:
+            report = upstream.parse_probe(response.body, self._settings.report_columns)
+        self.handle(ProbeEnded(server, outcome, self._clock.now() - sent_at, report))
+
+    # -- Timers and the list --------------------------------------------------------------------------
+
+    def _set_timer(self, action: SetTimer) -> None:
+        asyncio.get_running_loop().call_later(action.in_us / 1e6, self.handle, TimerFired(action.token))
+
+    def _told(self, told: Told | None) -> None:
+        if told is not None:
+            self._list(ListKind.COMPLETE if told.complete else ListKind.CHANGES, told)
+            return
+        self.handle(ServersListed(ListKind.FAILED))
+        if self._settings.discovery is DiscoveryMode.PUSHED:
+            asyncio.get_running_loop().call_later(_PUSHED_AGAIN_S, self._discovery.follow, True)
+
+    def _list(self, kind: ListKind, told: Told) -> None:
+        """Note the addresses first: the balancer may send on hearing of a server."""
+        if kind is not ListKind.CHANGES:
+            self._upstream.retain({line.server.server for line in told.lines})
+        for line in told.lines:
+            server = line.server
+            self._upstream.update(server.server, line.address, server.started_at, server.state)
+        self.handle(ServersListed(kind, [line.server for line in told.lines], told.version))
+
+
+def _head(call: Call, left_s: float) -> h11.Request:
+    """The head of an attempt: the application's, with the time that is left for it."""
+    headers = [*call.headers, (b"X-Budget", b"%.6f" % left_s)]
+    if not any(name == b"host" for name, _ in headers):
+        headers.append((b"Host", b"sidecar"))  # HTTP/1.0 allows none, HTTP/1.1 needs one
+    if call.body or call.method not in (b"GET", b"HEAD"):
+        headers.append((b"Content-Length", str(len(call.body)).encode()))
+    return h11.Request(method=call.method, target=call.target, headers=headers)
