--- a/topazbank/__main__.py
+++ b/topazbank/__main__.py
@@ -17,12 +17,13 @@
 from typing import Any
 
 from topazbank.net.discovery import Told, parse_list
-from topazbank.net.sidecar import Config, Sidecar
+from topazbank.net.sidecar import Config, Sidecar, trail_log
 from topazbank.net.upstream import parse_address
 from topazbank.wirehost import settings_from_wire
 
 _SOCKETS = 1024  # unless the configuration tells
 _LOG_LINES = 50  # a second at most
+_TRAIL_LINES = 20  # of these, at most so many for single requests
 
 
 def read_config(environ: Mapping[str, str]) -> Config:
@@ -84,6 +85,7 @@
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(logging.Formatter("%(asctime)s %(name)s %(message)s"))
     handler.addFilter(Flood(_LOG_LINES))
+    trail_log.addFilter(Flood(_TRAIL_LINES))
     logging.basicConfig(level=logging.INFO, handlers=[handler])
 
 
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -48,6 +48,7 @@
     budget_us: int
     cost_us: int | None
     again: bool
+    port: int  # of the application's connection, for the log
     answer: Callable[[int, Headers, bytes], None]
 
 
@@ -60,7 +61,9 @@
     ready: Callable[[], bool]
 
 
-def parse_call(head: h11.Request, body: bytes, answer: Callable[[int, Headers, bytes], None]) -> Call:
+def parse_call(
+    head: h11.Request, body: bytes, answer: Callable[[int, Headers, bytes], None], port: int = 0
+) -> Call:
     """Read a request of the application; raise BadRequest where a header is missing or makes no sense."""
     given = {name: value.decode("latin-1").strip() for name, value in head.headers}
     for name in (b"x-call-id", b"x-call-class", b"x-budget"):
@@ -78,6 +81,7 @@
         budget_us=int(_number(given[b"x-budget"], "x-budget") * 1e6),
         cost_us=int(_number(given[b"x-call-cost"], "x-call-cost")) if given.get(b"x-call-cost") else None,
         again=given.get(b"x-again") == "1",
+        port=port,
         answer=answer,
     )
 
@@ -113,6 +117,7 @@
     def __init__(self, frontend: Frontend, sock: socket.socket) -> None:
         self._frontend = frontend
         self._sock = sock
+        self._port = 0
         self._h11 = h11.Connection(h11.SERVER)
         self._transport: asyncio.Transport | None = None
         self._head: h11.Request | None = None
@@ -125,6 +130,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._port = int((transport.get_extra_info("peername") or ("", 0))[1])
         transport.set_write_buffer_limits(high=0)
         self._frontend.connections[self] = None
 
@@ -212,14 +218,14 @@
         elif path != _API_PATH and not path.startswith(_API_PATH + b"/"):
             raise BadRequest(404, "no such path")
         else:
-            call = parse_call(head, body, self._answer)
+            call = parse_call(head, body, self._answer, self._port)
             if call.service_class in self._frontend.keyed and not _is_keyed(head):
                 raise BadRequest(400, "idempotency-key is missing")  # servers could not drop its repeats
             self._call = call
             self._frontend.hooks.taken(call)
 
     def _reject(self, bad: BadRequest) -> None:
-        log.info("request rejected: %s", bad)
+        log.info("request from port %d rejected: %.120s", self._port, bad)
         if self._h11.our_state is h11.SEND_RESPONSE or self._h11.our_state is h11.IDLE:
             self._answer(bad.status, [(b"Content-Type", b"text/plain")], f"{bad}\n".encode())
         elif self._call is None:
@@ -262,6 +268,8 @@
             self._h11.start_next_cycle()
             self._frontend.rested(self)
             self._transport.resume_reading()
+            if ahead := self._h11.trailing_data[0]:
+                log.info("port %d sent %d bytes behind its request: %.60r", self._port, len(ahead), ahead)
             self._read()
 
     def _client_gone(self) -> None:
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -51,6 +51,7 @@
 from topazbank.net.upstream import Address, Exchange, Headers, Response
 
 log = logging.getLogger(__name__)
+trail_log = log.getChild("trail")  # requests that ended badly: a flood of them may not hide the other lines
 
 _ACCEPT_S = 0.5  # after SIGTERM, how long connections are still taken: they come for 0.4 s
 _LINGER_S = 0.65  # and how much longer than the longest deadline all may last
@@ -83,11 +84,13 @@
 
     ident: int
     call: Call
+    taken_at: int
     answer_by: int
     answered: bool = False
     sent: int = 0  # attempts so far
     out: dict[int, Exchange | None] = field(default_factory=dict)  # those that have not ended, by number
     backstop: asyncio.TimerHandle | None = None
+    trail: list[str] = field(default_factory=list)  # how its attempts ended, for the log
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,6 +110,7 @@
 
     def __init__(self, config: Config) -> None:
         self._settings = settings = config.settings
+        self._aims = {each.name: each.aim_us for each in settings.classes}
         self._clock = Clock()
         self._balancer = Balancer(settings, config.seed)
         self._live: dict[int, Live] = {}
@@ -219,7 +223,8 @@
     # -- Requests -------------------------------------------------------------------------------------
 
     def _taken(self, call: Call) -> None:
-        live = Live(next(self._idents), call, self._clock.now() + call.budget_us)
+        now = self._clock.now()
+        live = Live(next(self._idents), call, now, now + call.budget_us)
         self._live[live.ident] = self._by_call[call] = live
         at = self._clock.on_loop(live.answer_by)
         live.backstop = asyncio.get_running_loop().call_at(at, self._give_up, live.ident)
@@ -238,15 +243,32 @@
     def _gone(self, call: Call) -> None:
         live = self._by_call.pop(call, None)
         if live is not None and not live.answered:
+            self._log_trail(live, "client gone")
             self._mark_answered(live)
             self.handle(RequestGone(live.ident))
 
     def _answer(self, live: Live, status: int, headers: Headers, body: bytes) -> None:
         if live.answered:
             return
+        if status != 200 or self._clock.now() - live.taken_at > self._aims.get(live.call.service_class, 0):
+            self._log_trail(live, str(status))
         self._mark_answered(live)
         live.call.answer(status, headers, body)
 
+    def _log_trail(self, live: Live, end: str) -> None:
+        """Tell of a request that ended badly: refused, failed, late or given up by its client."""
+        call = live.call
+        trail_log.info(
+            "%s %s from port %d, %.3f s given: %s -> %s after %.1f ms",
+            call.ident[:40],
+            call.service_class[:40],
+            call.port,
+            call.budget_us / 1e6,
+            ", ".join(live.trail) + (f" ({len(live.out)} out)" if live.out else ""),
+            end,
+            (self._clock.now() - live.taken_at) / 1000,
+        )
+
     def _mark_answered(self, live: Live) -> None:
         live.answered = True
         self._by_call.pop(live.call, None)
@@ -303,10 +325,12 @@
         if index not in live.out:
             return
         del live.out[index]
+        elapsed = self._clock.now() - sent_at
+        told = outcome.value if response is None else f"{outcome.value} {response.status}"
+        live.trail.append(f"{server} {told} {elapsed / 1000:.1f} ms")
         if outcome is Outcome.DELIVERED and response is not None:
             about_body = [each for each in response.headers if each[0] in _ABOUT_BODY]
             self._answer(live, 200, about_body, response.body)
-        elapsed = self._clock.now() - sent_at
         report = self._report(response)
         self._forget_if_over(live)
         self.handle(AttemptEnded(live.ident, index, server, outcome, elapsed, live.answered, report))
