--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -82,6 +82,30 @@
     play(scene())
 
 
+INNER = request(path="/api/inner")
+AMBIGUOUS = {
+    "both framings": request("pay", Content_Length=str(len(INNER) + 5), Transfer_Encoding="chunked"),
+    "chunked before HTTP/1.1": request("pay", Content_Length=None, Transfer_Encoding="chunked").replace(
+        b"HTTP/1.1", b"HTTP/1.0"
+    ),
+}
+
+
+# Guards against a request inside the body of another: by the length it is body, by the chunks a request.
+@pytest.mark.parametrize("head", AMBIGUOUS.values(), ids=AMBIGUOUS)
+def test_nothing_is_read_behind_a_head_whose_framing_is_ambiguous(head: bytes) -> None:
+    async def scene() -> None:
+        async with world(served) as w:
+            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            writer.write(head + b"0\r\n\r\n" + INNER)
+            assert (await read_answer(reader))[0] == 400
+            assert await is_closed(reader)
+            writer.close()
+            assert not w.sent()
+
+    play(scene())
+
+
 def test_requests_on_one_connection_are_answered_in_order_even_if_sent_ahead() -> None:
     async def scene() -> None:
         async with world(lambda first, *_: answer(200, first.encode())) as w:
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -86,6 +86,16 @@
     )
 
 
+def _check_framing(head: h11.Request) -> None:
+    """Raise BadRequest where two readers could disagree on where the body ends (RFC 9112, 6.1).
+
+    What stood inside the body by the one reading would be the next request by the other.
+    """
+    names = [name for name, _ in head.headers]
+    if b"transfer-encoding" in names and (b"content-length" in names or head.http_version < b"1.1"):
+        raise BadRequest(400, "transfer-encoding beside content-length or before HTTP/1.1")
+
+
 def _is_keyed(head: h11.Request) -> bool:
     return any(name == b"idempotency-key" and value.strip() for name, value in head.headers)
 
@@ -200,6 +210,7 @@
         return isinstance(event, h11.Request | h11.Data)
 
     def _begin(self, head: h11.Request) -> None:
+        _check_framing(head)
         length = next((v for n, v in head.headers if n == b"content-length"), b"0")
         if int(length) > BODY_MOST:
             raise BadRequest(413, "the body is too large")
