Reject classes, tenants and methods that the settings do not name

Such requests went on to servers, which answered 400; the balancer took that for sick servers and ejected them, and kept a record for each name that anybody sent.

--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -9,6 +9,7 @@
 from typing import get_args
 
 import pytest
+from helpers import settings
 from loopback import PATIENCE_S, answer, ask, is_closed, play, read_answer, request, until, world
 
 from topazbank import balancer
@@ -62,6 +63,36 @@
     play(scene())
 
 
+# Guards servers, and what is learned of them: they answer 400 to these, as if they were sick.
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (request("look2", X_Caller="acme"), 400),
+        (request("", X_Caller="acme"), 400),
+        (request(X_Caller="acme-x"), 400),
+        (request(), 400),
+        (request("pay", X_Caller="acme", method="GET"), 405),
+        (request(X_Caller="acme", method="POST"), 405),
+    ],
+)
+def test_what_the_settings_do_not_know_reaches_neither_the_balancer_nor_a_server(
+    data: bytes, status: int
+) -> None:
+    async def scene() -> None:
+        async with world(served, tenants=[{"name": "acme"}]) as w:
+            heard: list[Event] = []
+            real = w.sidecar._balancer.handle
+            w.sidecar._balancer.handle = lambda now, event: (  # type: ignore[method-assign]
+                heard.append(event) or real(now, event)  # type: ignore[func-returns-value]
+            )
+            assert (await ask(w.sidecar.frontend.address, data))[0] == status
+            assert not any(isinstance(each, RequestArrived) for each in heard) and not w.sent()
+            assert (await w.ask(X_Caller="acme"))[0] == 200
+            assert sum(isinstance(each, RequestArrived) for each in heard) == len(w.sent()) == 1
+
+    play(scene())
+
+
 @pytest.mark.parametrize(
     ("data", "goes_on"),
     [(request(X_Call_Id=None), True), (b"nonsense\r\n\r\n", False), (request("pay", body=BIG), False)],
@@ -240,7 +271,7 @@
 
     async def scene() -> None:
         hooks = Hooks(lambda call: call.answer(200, [], b"taken"), lambda call: None, lambda: True)
-        frontend = Frontend(("127.0.0.1", 0), 5, hooks)
+        frontend = Frontend(("127.0.0.1", 0), 5, hooks, settings())
         real = frontend._sock
         frontend._sock = Lacking(real)  # type: ignore[assignment]
         frontend.start()
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -12,6 +12,7 @@
 
 import h11
 
+from topazbank.interface import Repeat, Settings
 from topazbank.net.upstream import Address, Headers, end_to_end, is_quiet
 
 log = logging.getLogger(__name__)
@@ -96,6 +97,19 @@
         raise BadRequest(400, "transfer-encoding beside content-length or before HTTP/1.1")
 
 
+def _check_call(call: Call, head: h11.Request, settings: Settings) -> None:
+    """Raise BadRequest for what the settings do not know: a server that answers it 400 is not sick."""
+    kind = next((each for each in settings.classes if each.name == call.service_class), None)
+    if kind is None:
+        raise BadRequest(400, "x-call-class is not known")
+    if settings.tenants and call.tenant not in {each.name for each in settings.tenants}:
+        raise BadRequest(400, "x-caller is not known")
+    if call.method != (b"GET" if kind.repeat is Repeat.SAFE else b"POST"):
+        raise BadRequest(405, "the class needs another method")
+    if kind.repeat is Repeat.KEYED and not _is_keyed(head):
+        raise BadRequest(400, "idempotency-key is missing")  # servers could not drop its repeats
+
+
 def _is_keyed(head: h11.Request) -> bool:
     return any(name == b"idempotency-key" and value.strip() for name, value in head.headers)
 
@@ -230,8 +244,7 @@
             raise BadRequest(404, "no such path")
         else:
             call = parse_call(head, body, self._answer, self._port)
-            if call.service_class in self._frontend.keyed and not _is_keyed(head):
-                raise BadRequest(400, "idempotency-key is missing")  # servers could not drop its repeats
+            _check_call(call, head, self._frontend.settings)
             self._call = call
             self._frontend.hooks.taken(call)
 
@@ -292,11 +305,9 @@
 class Frontend:
     """Listens for the application, within a bound on its connections."""
 
-    def __init__(
-        self, address: Address, most: int, hooks: Hooks, keyed: frozenset[str] = frozenset()
-    ) -> None:
+    def __init__(self, address: Address, most: int, hooks: Hooks, settings: Settings) -> None:
         self.hooks = hooks
-        self.keyed = keyed  # classes whose requests carry a key
+        self.settings = settings
         self.draining = False
         self.connections: dict[ClientConnection, None] = {}  # the longest at rest first
         self._most = most
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -34,7 +34,6 @@
     Probe,
     ProbeEnded,
     Refuse,
-    Repeat,
     ReportSource,
     RequestArrived,
     RequestGone,
@@ -123,8 +122,8 @@
         self._upstream = upstream.Upstream(limits.dial_timeout_us / 1e6, limits.idle_close_us / 1e6, half)
         self._known = config.known
         self._discovery = Discovery(config.discovery, config.known.version, self._told)
-        keyed = frozenset(each.name for each in settings.classes if each.repeat is Repeat.KEYED)
-        self.frontend = Frontend(config.listen, half, Hooks(self._taken, self._gone, self._is_ready), keyed)
+        hooks = Hooks(self._taken, self._gone, self._is_ready)
+        self.frontend = Frontend(config.listen, half, hooks, settings)
         self._carry: dict[type[Any], Callable[[Any], None]] = {
             Send: self._send,
             Refuse: self._refuse,
