--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -87,6 +87,16 @@
     play(scene())
 
 
+@pytest.mark.parametrize("status", [400, 404])
+def test_a_request_that_a_server_faults_fails_without_asking_others(status: int) -> None:
+    async def scene() -> None:
+        async with world(*[lambda *_: answer(status)] * 3) as w:
+            assert (await w.ask())[0] == 503
+            assert len(w.sent()) == 1
+
+    play(scene())
+
+
 def test_a_refused_connection_lets_even_an_unsafe_request_go_elsewhere() -> None:
     async def scene() -> None:
         async with world(served, served) as w:
--- a/tests/test_draw.py
+++ b/tests/test_draw.py
@@ -157,6 +157,18 @@
     assert sum(1 for _, each in stage.sends() if each.server == bad) < 300 / 6
 
 
+def test_a_server_that_faults_a_request_is_not_sick_and_no_other_is_asked() -> None:
+    # Guards healthy servers against a client that sends what every server faults.
+    stage = Stage()
+    stage.servers(names(3))
+    for _ in range(20):
+        request = stage.request()
+        stage.end(request, Outcome.INVALID)
+        assert len(stage.sends(request)) == 1
+    assert len(stage.said(Refuse)) == 20
+    assert all(each.ejected_until is None and each.pace == 1.0 for each in stage.balancer._servers.values())
+
+
 def test_a_timeout_of_a_server_that_answers_others_is_no_strike() -> None:
     stage = Stage()
     stage.servers(names(1))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -94,7 +94,9 @@
 # Rule 2: no effect twice
 
 
-@pytest.mark.parametrize("outcome", [Outcome.ERROR, Outcome.DROPPED, Outcome.EXPIRED, Outcome.CANCELLED])
+@pytest.mark.parametrize(
+    "outcome", [Outcome.ERROR, Outcome.INVALID, Outcome.DROPPED, Outcome.EXPIRED, Outcome.CANCELLED]
+)
 def test_an_unsafe_request_that_may_have_run_fails_and_is_not_sent_again(outcome: Outcome) -> None:
     stage = Stage()
     stage.servers(names(5))
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -320,6 +320,13 @@
         self._arm_timer()
         return self._actions
 
+    def describe(self) -> str:
+        """The state behind refusals, for the operators' log."""
+        return (
+            f"load {self._load()} of window {self._window:.1f}, aim spent {self._spent:.2f}, "
+            f"late {self._late:.2f}, ejected {len(self._ejected)} of {len(self._ready)}"
+        )
+
     def _notice_stall(self) -> None:
         """Notice that this balancer itself stood still: a timer of its own came far too late.
 
@@ -1005,7 +1012,11 @@
             if event.outcome is Outcome.FULL:
                 request.said_full += 1
                 self._place(request)
-            elif self._may_run_again(request) and self._extra >= 1.0:
+            elif (
+                event.outcome is not Outcome.INVALID  # others would say the same
+                and self._may_run_again(request)
+                and self._extra >= 1.0
+            ):
                 self._extra -= 1.0
                 self._place(request)
             elif not request.is_out():
@@ -1259,7 +1270,7 @@
 _TURN = -2  # the agenda's mark for a key whose rest ends
 _BEAT = -2  # the agenda's mark for the beat that tells of stalls
 _ASK = -1  # the agenda's mark for discovery; requests are never negative
-_CONNECTED = (Outcome.DELIVERED, Outcome.ERROR, Outcome.FULL)  # the connection is still there after these
+_CONNECTED = (Outcome.DELIVERED, Outcome.ERROR, Outcome.FULL, Outcome.INVALID)  # its connection stays
 _MAY_RUN_ON = (Outcome.EXPIRED, Outcome.DROPPED, Outcome.CANCELLED)  # the key rests after these
 
 
--- a/topazbank/interface.py
+++ b/topazbank/interface.py
@@ -92,6 +92,7 @@
 
     DELIVERED = "delivered"
     ERROR = "error"
+    INVALID = "invalid"  # the server faults the request, which says nothing of the server
     FULL = "full"
     EXPIRED = "expired"
     DIAL_FAILED = "dial_failed"
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -10,7 +10,7 @@
 import itertools
 import logging
 import time
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from functools import partial
@@ -58,6 +58,7 @@
 _DRAIN_STEP_S = 0.02  # how often a drain looks at what is left
 _LAG_EVERY_S = 0.25  # how often the event loop's lag is looked at
 _LAG_TOLD_S = 0.05  # and from when on it is logged
+_STATE_EVERY_S = 1.0  # how often the log is told how things stand
 _PUSHED_AGAIN_S = 0.5  # before a failed call to the agent that holds pushed lists is made again
 _ABOUT_BODY = (b"content-type", b"content-encoding")  # of a server's headers, these go to the client
 _FDS_KEPT = 64  # descriptors left for discovery, logs and the runtime
@@ -117,6 +118,7 @@
         self._idents = itertools.count(1)
         self._events: deque[Event] = deque()
         self._handling = False
+        self._answers: Counter[int] = Counter()  # by status, since the log was last told
         half = max((config.sockets - _FDS_KEPT) // 2, 1)
         limits = settings.limits
         self._upstream = upstream.Upstream(limits.dial_timeout_us / 1e6, limits.idle_close_us / 1e6, half)
@@ -172,12 +174,25 @@
 
     async def _watch_lag(self) -> None:
         loop = asyncio.get_running_loop()
+        told_at = loop.time()
         while True:
             due = loop.time() + _LAG_EVERY_S
             await asyncio.sleep(_LAG_EVERY_S)
             late = loop.time() - due
             if late > _LAG_TOLD_S:
                 log.warning("the event loop was %.0f ms late", late * 1000)
+            if loop.time() >= told_at + _STATE_EVERY_S:
+                told_at = loop.time()
+                self._log_state()
+
+    def _log_state(self) -> None:
+        """Tell how things stand, where anything was asked since it was last told."""
+        if self._answers:
+            counts = ", ".join(f"{count} x {status}" for status, count in sorted(self._answers.items()))
+            self._answers.clear()
+            clients = len(self.frontend.connections)
+            held, state = len(self._by_call), self._balancer.describe()
+            log.info("answered %s; %d clients, %d held; %s", counts, clients, held, state)
 
     def _is_ready(self) -> bool:
         return not self.frontend.draining
@@ -251,6 +266,7 @@
             return
         if status != 200 or self._clock.now() - live.taken_at > self._aims.get(live.call.service_class, 0):
             self._log_trail(live, str(status))
+        self._answers[status] += 1
         self._mark_answered(live)
         live.call.answer(status, headers, body)
 
--- a/topazbank/net/upstream.py
+++ b/topazbank/net/upstream.py
@@ -256,7 +256,7 @@
         return Outcome.DELIVERED
     if response.status in (503, 504) and response.header(b"x-rejected") == "1":
         return Outcome.FULL
-    return Outcome.ERROR
+    return Outcome.INVALID if response.status in (400, 404) else Outcome.ERROR
 
 
 class Upstream:
