Take an answer that can't be read for an error, not for a process that died

Servers' malformed, oversize or unframed answers were reported as lost connections; two in a row made the balancer treat a running server as restarted, so cold, and send it a trickle for as long as it may take to warm up.

--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -87,6 +87,33 @@
     play(scene())
 
 
+UNREADABLE = {
+    "cut short": b"HTTP/1.1 200 X\r\nContent-Length: 10\r\nConnection: close\r\n\r\nshort",
+    "bad chunk": b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\nzz\r\n",
+    "two lengths": b"HTTP/1.1 200 X\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabcde",
+    "no framing": b"HTTP/1.1 200 X\r\nConnection: close\r\n\r\nabcde",
+    "too long": answer(200, bytes(64 * 1024 + 1)),
+    "no HTTP": b"\x88R\xba|\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize(
+    ("reply", "cold"),
+    [*((reply, False) for reply in UNREADABLE.values()), (b"", True)],
+    ids=[*UNREADABLE, "a reset and no answer"],
+)
+def test_answers_that_cannot_be_read_are_not_taken_for_a_process_that_died(reply: bytes, cold: bool) -> None:
+    # Guards the fleet: a server that may have restarted gets a trickle for as long as it takes to warm up.
+    async def scene() -> None:
+        async with world(lambda *_: reply, limits={"max_attempts": 1}) as w:
+            for _ in range(2):
+                assert (await w.ask(kind="pay", body=b"x"))[0] == 500
+            assert len(w.sent()) == 2
+            assert (w.sidecar._balancer._servers["s-0"].cold_since is not None) == cold
+
+    play(scene())
+
+
 @pytest.mark.parametrize("status", [400, 404])
 def test_a_request_that_a_server_faults_fails_without_asking_others(status: int) -> None:
     async def scene() -> None:
@@ -253,7 +280,7 @@
         assert not connection.written
         other.close()  # with bytes unread: a reset
         assert await asyncio.wait_for(ended, PATIENCE_S) is None
-        assert judge(None, connection.written) is Outcome.DIAL_FAILED
+        assert judge(None, connection.written, connection.heard) is Outcome.DIAL_FAILED
         listener.close()
 
     play(scene())
@@ -274,7 +301,7 @@
         await until(lambda: connection.written)
         reset(writer)
         assert await asyncio.wait_for(ended, PATIENCE_S) is None
-        assert judge(None, connection.written) is Outcome.DROPPED
+        assert judge(None, connection.written, connection.heard) is Outcome.DROPPED
         listener.close()
 
     play(scene())
@@ -306,7 +333,7 @@
             upstream = Upstream(dial_limit, 60.0, 10)
             upstream.update("s", address, None, ServerState.READY)
             assert await outcome_of(upstream, seconds) is Outcome.DIAL_FAILED
-            await until(lambda: upstream._open == 0)
+            await until(lambda: upstream.open_count == 0)
 
     play(scene())
 
@@ -319,10 +346,10 @@
             upstream = Upstream(30.0, 60.0, 10)
             upstream.update("s", address, None, ServerState.READY)
             sending = asyncio.create_task(outcome_of(upstream))
-            await until(lambda: upstream._open == 1)
+            await until(lambda: upstream.open_count == 1)
             upstream.update("s", address, None, state)
             assert await sending is Outcome.DIAL_FAILED
-            await until(lambda: upstream._open == 0)
+            await until(lambda: upstream.open_count == 0)
 
     play(scene())
 
@@ -349,7 +376,7 @@
         upstream.cancel(exchange)
         upstream.cancel(exchange)
         await until(lambda: server.closed == 1)
-        assert outcomes == [Outcome.CANCELLED] and upstream._open == 0
+        assert outcomes == [Outcome.CANCELLED] and upstream.open_count == 0
         server.stop()
 
     play(scene())
@@ -432,8 +459,8 @@
                 w.sidecar._upstream.update("s-0", address, None, ServerState.READY)
                 _, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
                 writer.write(request("pay", body=b"x", budget="600"))
-                await until(lambda: w.sidecar._upstream._open == 1)
+                await until(lambda: w.sidecar._upstream.open_count == 1)
                 writer.close()
-                await until(lambda: not w.sidecar._live and not w.sidecar._upstream._open)
+                await until(lambda: not w.sidecar._live and not w.sidecar._upstream.open_count)
 
     play(scene())
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -324,7 +324,8 @@
         """The state behind refusals, for the operators' log."""
         return (
             f"load {self._load()} of window {self._window:.1f}, aim spent {self._spent:.2f}, "
-            f"late {self._late:.2f}, ejected {len(self._ejected)} of {len(self._ready)}"
+            f"late {self._late:.2f}; of {len(self._ready)} ready {len(self._ejected)} ejected, "
+            f"{sum(self._is_cold(each) for each in self._ready)} cold"
         )
 
     def _notice_stall(self) -> None:
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -119,6 +119,7 @@
         self._events: deque[Event] = deque()
         self._handling = False
         self._answers: Counter[int] = Counter()  # by status, since the log was last told
+        self._cpu_told_s = 0.0
         half = max((config.sockets - _FDS_KEPT) // 2, 1)
         limits = settings.limits
         self._upstream = upstream.Upstream(limits.dial_timeout_us / 1e6, limits.idle_close_us / 1e6, half)
@@ -192,7 +193,10 @@
             self._answers.clear()
             clients = len(self.frontend.connections)
             held, state = len(self._by_call), self._balancer.describe()
-            log.info("answered %s; %d clients, %d held; %s", counts, clients, held, state)
+            cpu_s = time.process_time() - self._cpu_told_s
+            self._cpu_told_s += cpu_s
+            told = "answered %s; %d clients, %d held, %d connections to servers, %.2f s of CPU; %s"
+            log.info(told, counts, clients, held, self._upstream.open_count, cpu_s, state)
 
     def _is_ready(self) -> bool:
         return not self.frontend.draining
--- a/topazbank/net/upstream.py
+++ b/topazbank/net/upstream.py
@@ -80,6 +80,7 @@
         self._transport: asyncio.Transport | None = None
         self._ended: Callable[[Response | None], None] | None = None
         self._written = False
+        self.heard = False  # whether a byte of the answer has come: the process is there
         self._head: h11.Response | None = None
         self._body = bytearray()
         self.on_lost: Callable[[], None] = lambda: None
@@ -102,7 +103,7 @@
     def request(self, head: h11.Request, body: bytes, ended: Callable[[Response | None], None]) -> None:
         """Write a request; `ended` is called once, with the whole answer or with None if it broke."""
         assert self._transport is not None
-        self._ended, self._written = ended, False
+        self._ended, self._written, self.heard = ended, False, False
         events = [head, h11.Data(data=body), h11.EndOfMessage()] if body else [head, h11.EndOfMessage()]
         data = b"".join(self._h11.send(each) or b"" for each in events)
         self._transport.write(data)
@@ -116,6 +117,7 @@
         if self._ended is None:
             self.abort()  # stray bytes: what they answer is anyone's guess
             return
+        self.heard = True
         self._feed(data)
 
     def eof_received(self) -> bool:
@@ -129,7 +131,7 @@
             while self._next_event():
                 pass
         except h11.RemoteProtocolError as broken:
-            log.debug("answer cut short or malformed: %s", broken)
+            log.info("answer cut short or malformed: %.80s; it began %.60r", broken, data)
             self._finish(None)
 
     def _next_event(self) -> bool:
@@ -139,6 +141,7 @@
         elif isinstance(event, h11.Data):
             self._body += event.data
             if len(self._body) > self._body_most:
+                log.info("answer of more than %d bytes", self._body_most)
                 self._finish(None)
                 return False
         elif isinstance(event, h11.EndOfMessage):
@@ -153,7 +156,10 @@
         response = Response(head.status_code, list(head.headers), bytes(self._body))
         framed = response.header(b"content-length") or response.header(b"transfer-encoding")
         # An answer that ends with its connection can't be told from one cut short.
-        return response if framed is not None or head.status_code in (204, 304) else None
+        if framed is None and head.status_code not in (204, 304):
+            log.info("answer of %d bytes without framing", len(response.body))
+            return None
+        return response
 
     def _finish(self, response: Response | None) -> None:
         ended, self._ended = self._ended, None
@@ -167,8 +173,10 @@
             ended(response)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.reusable = False
         ended, self._ended = self._ended, None
+        if ended is not None and self.reusable:
+            log.info("connection lost under a request: %s", exc or "it ended")
+        self.reusable = False
         if ended is not None:
             ended(None)
         self.on_lost()
@@ -248,10 +256,15 @@
         ended(outcome, response)
 
 
-def judge(response: Response | None, written: bool) -> Outcome:
-    """What an ended exchange proves: it never ran only if that is certain."""
+def judge(response: Response | None, written: bool, heard: bool) -> Outcome:
+    """What an ended exchange proves: it never ran only if that is certain.
+
+    An answer that can't be read is an error, not a lost connection: its server is up.
+    """
     if response is None:
-        return Outcome.DROPPED if written else Outcome.DIAL_FAILED
+        if not written:
+            return Outcome.DIAL_FAILED
+        return Outcome.ERROR if heard else Outcome.DROPPED
     if response.status == 200:
         return Outcome.DELIVERED
     if response.status in (503, 504) and response.header(b"x-rejected") == "1":
@@ -266,7 +279,7 @@
         self._dial_limit = dial_limit_s
         self._idle_s = idle_s * (1.0 - _IDLE_MARGIN)
         self._most = most
-        self._open = 0  # connections, and dials under way
+        self.open_count = 0  # connections, and dials under way
         self._endpoints: dict[str, Endpoint] = {}
 
     def update(self, name: str, address: Address | None, started_at: int | None, state: ServerState) -> None:
@@ -310,7 +323,7 @@
         if connection is not None:
             self._write(exchange, connection)
         elif self._make_room():
-            self._open += 1
+            self.open_count += 1
             endpoint.dialling.add(exchange)
             limit = loop.time() + self._dial_limit
             exchange.timers.append(loop.call_at(limit, self._dial_time_up, exchange))
@@ -366,7 +379,7 @@
 
     def _make_room(self) -> bool:
         """Whether one more connection may be opened, perhaps for an idle one elsewhere."""
-        if self._open < self._most:
+        if self.open_count < self._most:
             return True
         idle = [each for each in self._endpoints.values() if each.idle]
         if not idle:
@@ -398,7 +411,7 @@
             self._lost()
 
     def _lost(self) -> None:
-        self._open -= 1
+        self.open_count -= 1
 
     def _write(self, exchange: Exchange, connection: Connection) -> None:
         exchange.connection = connection
@@ -413,7 +426,7 @@
 
     def _answered(self, exchange: Exchange, connection: Connection, response: Response | None) -> None:
         self._put_back(exchange, connection)
-        exchange.end(judge(response, connection.written), response)
+        exchange.end(judge(response, connection.written, connection.heard), response)
 
     def _put_back(self, exchange: Exchange, connection: Connection) -> None:
         """Keep a connection for the next request, for less long than the server keeps it."""
