--- a/tests/test_draw.py
+++ b/tests/test_draw.py
@@ -157,6 +157,24 @@
     assert sum(1 for _, each in stage.sends() if each.server == bad) < 300 / 6
 
 
+@pytest.mark.parametrize("outcome", [Outcome.DROPPED, Outcome.DIAL_FAILED])
+def test_lost_connections_eject_a_server_but_only_the_list_turns_it_cold(outcome: Outcome) -> None:
+    # Guards the fleet: one that is taken for restarted gets a trickle for as long as it may take to warm up.
+    stage = Stage()
+    stage.servers(names(3))
+    server = stage.balancer._servers[names(3)[0]]
+    for request in [stage.request("pay") for _ in range(6)]:  # two at each
+        stage.end(request, outcome if stage.target(request) == server.name else Outcome.DELIVERED)
+    assert server.ejected_until is not None and not stage.balancer._is_cold(server)
+    stage.wait(4 * S)
+    trial = stage.request()
+    assert stage.target(trial) == server.name
+    stage.end(trial)
+    assert server.ejected_until is None and not stage.balancer._is_cold(server)
+    stage.servers([ListedServer(server.name, zone="east", started_at=stage.now)], ListKind.CHANGES)
+    assert stage.balancer._is_cold(server)
+
+
 def test_a_server_that_faults_a_request_is_not_sick_and_no_other_is_asked() -> None:
     # Guards healthy servers against a client that sends what every server faults.
     stage = Stage()
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -1121,8 +1121,6 @@
             server.strikes += 1
             if trial or (server.strikes >= STRIKES and server.ejected_until is None):
                 self._eject(server, outcome.value)
-                if outcome in (Outcome.DIAL_FAILED, Outcome.DROPPED):
-                    self._turned_cold(server, self._now)  # its process may come back before the list says so
 
     def _eject(self, server: Server, reason: str, most: float = EJECTED_MOST) -> None:
         if server.ejected_until is None:
@@ -1143,8 +1141,6 @@
         self._stuck -= server.in_flight
         server.ejections = 0
         server.strikes = 0
-        if server.cold_since is not None and server.cold_since != server.started_at:
-            self._turned_cold(server, self._now)
         self._actions.append(Log(f"readmitted {server.name}"))
 
     def _trial_due(self, request: Request) -> Server | None:
--- a/topazbank/net/upstream.py
+++ b/topazbank/net/upstream.py
@@ -80,6 +80,8 @@
         self._transport: asyncio.Transport | None = None
         self._ended: Callable[[Response | None], None] | None = None
         self._written = False
+        self._carried = 0  # requests, the one under way included
+        self._asked_at = 0.0  # on the event loop's clock
         self.heard = False  # whether a byte of the answer has come: the process is there
         self._head: h11.Response | None = None
         self._body = bytearray()
@@ -104,6 +106,8 @@
         """Write a request; `ended` is called once, with the whole answer or with None if it broke."""
         assert self._transport is not None
         self._ended, self._written, self.heard = ended, False, False
+        self._carried += 1
+        self._asked_at = asyncio.get_running_loop().time()
         events = [head, h11.Data(data=body), h11.EndOfMessage()] if body else [head, h11.EndOfMessage()]
         data = b"".join(self._h11.send(each) or b"" for each in events)
         self._transport.write(data)
@@ -175,7 +179,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         ended, self._ended = self._ended, None
         if ended is not None and self.reusable:
-            log.info("connection lost under a request: %s", exc or "it ended")
+            took = asyncio.get_running_loop().time() - self._asked_at
+            told = "connection lost under its request number %d, %.1f ms after it was sent: %s"
+            log.info(told, self._carried, took * 1000, exc or "it ended")
         self.reusable = False
         if ended is not None:
             ended(None)
@@ -396,7 +402,7 @@
         try:
             connection = await connect(endpoint.address, BODY_MOST)
         except OSError as fault:
-            log.debug("no connection to %s: %r", endpoint.name, fault)
+            log.info("no connection to %s: %s", endpoint.name, fault)
             exchange.end(Outcome.DIAL_FAILED)
             return False
         connection.on_lost = self._lost
