Reload on SIGHUP: discovery is asked where the file says now

Now the file is read again; a bad one keeps what runs and logs one line; a new discovery address is asked for the whole list at once and then watched.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -124,6 +124,24 @@
     play(scene())
 
 
+def test_a_service_that_moved_is_asked_for_the_whole_list_and_then_watched() -> None:
+    async def scene() -> None:
+        async with world(served, served) as w:
+            await until(lambda: w.discovery.targets)
+            moved = FakeDiscovery()
+            await moved.start()
+            w.sidecar._discovery.move(moved.address)
+            moved.say(7, [w.servers[1].entry()], snapshot=True)
+            await until(lambda: len(moved.targets) == 2)
+            assert moved.targets[0] == "/registry/instances"
+            assert moved.targets[1].startswith("/registry/instances?after=7&")
+            assert w.sidecar._balancer._servers["s-0"].state is ServerState.GONE
+            assert len(w.discovery.targets) == 1
+            moved.stop()
+
+    play(scene())
+
+
 def test_pushed_lists_are_read_without_being_asked_for() -> None:
     async def scene() -> None:
         async with world(served, discovery="pushed") as w:
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -195,3 +195,35 @@
             rested_writer.close()
 
     play(scene())
+
+
+async def logged(process: asyncio.subprocess.Process, words: str) -> None:
+    """Wait for a line of the program's log."""
+    assert process.stderr is not None
+    while words.encode() not in (line := await asyncio.wait_for(process.stderr.readline(), PATIENCE_S)):
+        assert line, f"it ended without a word of {words!r}"
+
+
+def test_on_sighup_discovery_is_asked_where_the_file_says_and_a_bad_file_changes_nothing(
+    tmp_path: Path,
+) -> None:
+    async def scene() -> None:
+        server = FakeServer("s-0", lambda *_: answer(200, b"served"))
+        moved = FakeDiscovery()
+        await moved.start()
+        async with program(tmp_path, server) as (process, address):
+            path = tmp_path / "config.json"
+            good = json.loads(path.read_text(encoding="utf-8"))
+            path.write_text("not json", encoding="utf-8")
+            process.send_signal(signal.SIGHUP)
+            await logged(process, "bad configuration, the old one stays")
+            assert (await ask(address, request()))[0] == 200 and not moved.targets
+            path.write_text(
+                json.dumps(good | {"discovery": "{}:{}".format(*moved.address)}), encoding="utf-8"
+            )
+            process.send_signal(signal.SIGHUP)
+            await until(lambda: moved.targets)
+            assert (await ask(address, request()))[0] == 200 and process.returncode is None
+        moved.stop()
+
+    play(scene())
--- a/topazbank/__main__.py
+++ b/topazbank/__main__.py
@@ -1,4 +1,4 @@
-"""Starts one sidecar: reads its configuration, serves, and drains on SIGTERM.
+"""Starts one sidecar: reads its configuration, serves, reads it again on SIGHUP and drains on SIGTERM.
 
 Run as `python -m topazbank`, with RELAY_CONFIG naming the configuration.  A bad one ends the start with one
 line on standard error and exit code 2.
@@ -22,6 +22,8 @@
 from topazbank.net.upstream import parse_address
 from topazbank.wirehost import settings_from_wire
 
+log = logging.getLogger(__name__)
+
 _SOCKETS = 1024  # unless the configuration tells
 _LOG_LINES = 50  # a second at most
 _TRAIL_LINES = 20  # of these, at most so many for single requests
@@ -94,13 +96,29 @@
 
 async def serve(config: Config) -> None:
     stop = asyncio.Event()
+    sidecar = Sidecar(config)
+    loop = asyncio.get_running_loop()
     for each in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(each, stop.set)
-    await Sidecar(config).run(stop)
+        loop.add_signal_handler(each, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, reload, sidecar)
+    await sidecar.run(stop)
+
+
+def reload(sidecar: Sidecar) -> None:
+    """Read the configuration again; a bad one changes nothing.
+
+    The environment tells where discovery was at the start, so here the file is right.
+    """
+    environ = {name: value for name, value in os.environ.items() if name != "RELAY_DISCOVERY"}
+    try:
+        sidecar.reload(read_config(environ))
+    except (OSError, ValueError, RecursionError) as bad:
+        log.error("bad configuration, the old one stays: %s", " ".join(str(bad).split()))
 
 
 def main() -> int:
     start_log()
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload
     try:
         config = read_config(os.environ)
     except (OSError, ValueError, RecursionError) as bad:
--- a/topazbank/net/discovery.py
+++ b/topazbank/net/discovery.py
@@ -90,7 +90,7 @@
 
     def __init__(self, address: Address, version: int, told: Callable[[Told | None], None]) -> None:
         self._address = address
-        self._version = version
+        self._version: int | None = version  # None: the whole list is needed first
         self._told = told
         self._watch: asyncio.Task[None] | None = None
         self._fetches: set[asyncio.Task[bool]] = set()
@@ -108,6 +108,14 @@
         self._fetches.add(task)
         task.add_done_callback(lambda done: self._fetches.discard(done))
 
+    def move(self, address: Address) -> None:
+        """Ask elsewhere from now on, the whole list first: what versions mean there is not known."""
+        if address == self._address:
+            return
+        self._address, self._version = address, None
+        self.stop()
+        self.follow(True)
+
     def stop(self) -> None:
         if self._watch is not None:
             self._watch.cancel()
@@ -118,6 +126,10 @@
         loop = asyncio.get_running_loop()
         while True:
             began, version = loop.time(), self._version
+            if version is None:
+                if not await self._ask(_PATH, _CALL_S):
+                    return
+                continue
             target = f"{_PATH}?after={version}&wait_ms={_WAIT_MS}"
             if not await self._ask(target, _WAIT_MS / 1000 + _LATE_S):
                 return
@@ -126,10 +138,13 @@
 
     async def _ask(self, target: str, limit_s: float) -> bool:
         told: Told | None = None
+        asked = self._address
         try:
             async with asyncio.timeout(limit_s):
                 told = self._read(await self._call(target))
-                self._version = told.version
+            if asked != self._address:
+                return False  # a single fetch from where the service was: its version means nothing now
+            self._version = told.version
         except (OSError, ValueError, TimeoutError) as fault:
             log.warning("discovery: %s", fault or type(fault).__name__)
         self._told(told)
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -155,6 +155,11 @@
         self._discovery.stop()
         await self._upstream.close()
 
+    def reload(self, config: Config) -> None:
+        """Take over what may change while this runs: where discovery is."""
+        log.info("reloaded: discovery at %s:%d", *config.discovery)
+        self._discovery.move(config.discovery)
+
     async def _drain(self) -> None:
         loop = asyncio.get_running_loop()
         began = loop.time()
