Give the balancer one time for each step of the event loop

It tells what waited out a stall by its time, which the simulator gives a whole batch; the sidecar read the clock anew for each event, so after the first one all the rest was taken for the servers' slowness. Lines on single requests are now counted before they are made.

--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -13,7 +13,7 @@
 from loopback import PATIENCE_S, answer, ask, is_closed, play, read_answer, request, until, world
 
 from topazbank import balancer
-from topazbank.interface import Action, Event, Refuse, RequestArrived
+from topazbank.interface import Action, Event, Refuse, RequestArrived, RequestGone
 from topazbank.net.frontend import ClientConnection, Frontend, Hooks
 
 
@@ -173,6 +173,29 @@
     play(scene())
 
 
+def test_what_comes_in_one_step_of_the_event_loop_has_one_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards what the balancer learns: after a stall, it tells by the time what waited meanwhile.
+    async def scene() -> None:
+        async with world(served) as w:
+            times: list[int] = []
+
+            def handle(now: int, event: Event) -> list[Action]:
+                times.append(now)
+                return []
+
+            monkeypatch.setattr(w.sidecar._balancer, "handle", handle)
+            ticks = iter(range(1, 1_000_000))
+            monkeypatch.setattr(w.sidecar._clock, "now", lambda: next(ticks))
+            for _ in range(3):
+                w.sidecar.handle(RequestGone(1))
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            w.sidecar.handle(RequestGone(1))
+            assert times[0] == times[1] == times[2] < times[3]
+
+    play(scene())
+
+
 def test_a_refusal_says_when_to_come_back() -> None:
     async def scene() -> None:
         async with world(served) as w:
--- a/topazbank/__main__.py
+++ b/topazbank/__main__.py
@@ -18,7 +18,7 @@
 
 from topazbank.net import frontend
 from topazbank.net.discovery import Told, parse_list
-from topazbank.net.sidecar import Config, Sidecar, trail_log
+from topazbank.net.sidecar import Config, Sidecar
 from topazbank.net.upstream import parse_address
 from topazbank.wirehost import settings_from_wire
 
@@ -26,8 +26,7 @@
 
 _SOCKETS = 1024  # unless the configuration tells
 _LOG_LINES = 50  # a second at most
-_TRAIL_LINES = 20  # of these, at most so many for single requests
-_REJECTED_LINES = 10  # and so many for what is not a proper request
+_REJECTED_LINES = 10  # of these, for what is not a proper request
 
 
 def read_config(environ: Mapping[str, str]) -> Config:
@@ -89,7 +88,6 @@
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(logging.Formatter("%(asctime)s %(name)s %(message)s"))
     handler.addFilter(Flood(_LOG_LINES))
-    trail_log.addFilter(Flood(_TRAIL_LINES))
     frontend.log.addFilter(Flood(_REJECTED_LINES))
     logging.basicConfig(level=logging.INFO, handlers=[handler])
 
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -50,7 +50,6 @@
 from topazbank.net.upstream import Address, Exchange, Headers, Response
 
 log = logging.getLogger(__name__)
-trail_log = log.getChild("trail")  # requests that ended badly: a flood of them may not hide the other lines
 
 _ACCEPT_S = 0.5  # after SIGTERM, how long connections are still taken: they come for 0.4 s
 _LINGER_S = 0.65  # and how much longer than the longest deadline all may last
@@ -59,6 +58,7 @@
 _LAG_EVERY_S = 0.25  # how often the event loop's lag is looked at
 _LAG_TOLD_S = 0.05  # and from when on it is logged
 _STATE_EVERY_S = 1.0  # how often the log is told how things stand
+_TRAILS = 20  # and of how many requests that ended badly, at most, in that time
 _PUSHED_AGAIN_S = 0.5  # before a failed call to the agent that holds pushed lists is made again
 _ABOUT_BODY = (b"content-type", b"content-encoding")  # of a server's headers, these go to the client
 _FDS_KEPT = 64  # descriptors left for discovery, logs and the runtime
@@ -69,10 +69,24 @@
 
     def __init__(self) -> None:
         self._offset_us = time.time_ns() // 1000 - time.monotonic_ns() // 1000
+        self._step: int | None = None
 
     def now(self) -> int:
         return time.monotonic_ns() // 1000 + self._offset_us
 
+    def step(self) -> int:
+        """The time of this step of the event loop, one for all that the loop found at once.
+
+        The balancer tells by it what came together: after a stall, it learns nothing from such times.
+        """
+        if self._step is None:
+            self._step = self.now()
+            asyncio.get_running_loop().call_soon(self._next_step)  # before what the next step finds
+        return self._step
+
+    def _next_step(self) -> None:
+        self._step = None
+
     def on_loop(self, at_us: int) -> float:
         """A clock time as the event loop counts it."""
         return (at_us - self._offset_us) / 1e6
@@ -120,6 +134,7 @@
         self._handling = False
         self._answers: Counter[int] = Counter()  # by status, since the log was last told
         self._cpu_told_s = 0.0
+        self._trails = 0  # since the log was last told
         half = max((config.sockets - _FDS_KEPT) // 2, 1)
         limits = settings.limits
         self._upstream = upstream.Upstream(limits.dial_timeout_us / 1e6, limits.idle_close_us / 1e6, half)
@@ -193,6 +208,7 @@
 
     def _log_state(self) -> None:
         """Tell how things stand, where anything was asked since it was last told."""
+        self._trails = 0
         if self._answers:
             counts = ", ".join(f"{count} x {status}" for status, count in sorted(self._answers.items()))
             self._answers.clear()
@@ -222,7 +238,7 @@
 
     def _play(self, event: Event) -> None:
         try:
-            actions: Sequence[Action] = self._balancer.handle(self._clock.now(), event)
+            actions: Sequence[Action] = self._balancer.handle(self._clock.step(), event)
         except Exception:
             log.exception("the balancer failed on %.200r", event)
             self._give_up(getattr(event, "request", None))
@@ -280,9 +296,15 @@
         live.call.answer(status, headers, body)
 
     def _log_trail(self, live: Live, end: str) -> None:
-        """Tell of a request that ended badly: refused, failed, late or given up by its client."""
+        """Tell of a request that ended badly: refused, failed, late or given up by its client.
+
+        Only of some: a line for each refusal would cost a busy sidecar more than the refusal itself.
+        """
+        self._trails += 1
+        if self._trails > _TRAILS:
+            return
         call = live.call
-        trail_log.info(
+        log.info(
             "%s %s from port %d, %.3f s given: %s -> %s after %.1f ms",
             call.ident[:40],
             call.service_class[:40],
