Give up peers whose request has not come whole in 2 s

Nothing bounded them: a silent or dribbling peer kept its descriptor for good, though it is owed an error or an end within 3 s. A request begun and not whole in time is answered 408 and its connection ends; a connection that never carried one is closed.

--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -14,6 +14,7 @@
 
 from topazbank import balancer
 from topazbank.interface import Action, Event, Refuse, RequestArrived, RequestGone
+from topazbank.net import frontend
 from topazbank.net.frontend import ClientConnection, Frontend, Hooks
 
 
@@ -272,6 +273,49 @@
     play(scene())
 
 
+@pytest.mark.parametrize(
+    "sent", [b"", b"GET /a", request("pay", body=b"xyz")[:-1]], ids=["0", "line", "body"]
+)
+@pytest.mark.parametrize("used", [False, True])
+def test_a_peer_that_sends_slowly_or_nothing_is_given_up(
+    sent: bytes, used: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards the descriptors.  A used connection that sends nothing is at rest, and may stay.
+    monkeypatch.setattr(frontend, "_WHOLE_S", 0.2)
+
+    async def scene() -> None:
+        async with world(served) as w:
+            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            if used:
+                writer.write(request())
+                assert (await read_answer(reader))[0] == 200
+            writer.write(sent)
+            if sent:
+                assert (await read_answer(reader))[0] == 408
+            if sent or not used:
+                assert await is_closed(reader)
+            else:
+                await asyncio.sleep(0.4)
+                writer.write(request())
+                assert (await read_answer(reader))[0] == 200
+            writer.close()
+
+    play(scene())
+
+
+def test_a_held_request_is_not_given_up_as_slow(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(frontend, "_WHOLE_S", 0.05)
+
+    async def scene() -> None:
+        async with world(lambda *_: None) as w:
+            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            writer.write(request("pay", body=b"x", budget="0.4"))
+            assert (await read_answer(reader))[0] == 500
+            writer.close()
+
+    play(scene())
+
+
 def test_a_lack_of_descriptors_neither_spins_nor_ends_the_listening() -> None:
     class Lacking:
         """A listener of which the first accepts fail."""
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -21,9 +21,19 @@
 _READY_PATH = b"/health/ready"
 _API_PATH = b"/api"
 _BACKLOG = 512
+_LOOK_AGAIN_S = 0.05  # after which what waited unread in a stall has been read
 _ACCEPT_PAUSE_S = 0.05  # after a failed accept, descriptors lacking: no spinning
+_WHOLE_S = (
+    2.0  # from its connection or its first byte, what a request may take to come: after 3 s it is owed an end
+)
 _LINGER_S = 1.0  # how long an ended connection is read on, so that its answer arrives
-_REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed"}
+_REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    405: b"Method Not Allowed",
+    408: b"Request Timeout",
+}
 
 
 class BadRequest(Exception):
@@ -149,6 +159,7 @@
         self._call: Call | None = None
         self._stuck = False  # the last answer is not all written yet
         self._lingering = False  # what still comes is dropped: its framing is lost
+        self._due: asyncio.TimerHandle | None = None  # when a request that is awaited must have come whole
         self.used = False  # whether it has carried a request
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -157,9 +168,11 @@
         self._port = int((transport.get_extra_info("peername") or ("", 0))[1])
         transport.set_write_buffer_limits(high=0)
         self._frontend.connections[self] = None
+        self._await_request()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._frontend.lost(self)
+        self._await_no_more()
         self._client_gone()
 
     def eof_received(self) -> bool:
@@ -178,6 +191,27 @@
         elif len(self._h11.trailing_data[0]) > BODY_MOST and self._transport is not None:
             self._transport.pause_reading()  # it sends ahead; what is held is bounded
 
+    def _await_request(self) -> None:
+        """Bound the time of a request: peers that send slowly or nothing may not hold descriptors."""
+        if self._due is None:
+            self._due = asyncio.get_running_loop().call_later(_WHOLE_S, self._too_slow, True)
+
+    def _await_no_more(self) -> None:
+        if self._due is not None:
+            self._due.cancel()
+            self._due = None
+
+    def _too_slow(self, look_again: bool) -> None:
+        loop = asyncio.get_running_loop()
+        if look_again and not is_quiet(self._sock):  # our own delay: read first what waits
+            self._due = loop.call_later(_LOOK_AGAIN_S, self._too_slow, False)
+            return
+        self._due = None
+        if self._head is not None or self._h11.trailing_data[0]:
+            self._reject(BadRequest(408, "the request did not come in time"))
+        else:
+            self.close()
+
     def pause_writing(self) -> None:
         self._stuck = True
 
@@ -200,6 +234,8 @@
         try:
             while self._next_event():
                 pass
+            if self._call is None and (self._head is not None or self._h11.trailing_data[0]):
+                self._await_request()
         except BadRequest as bad:
             self._reject(bad)
         except h11.RemoteProtocolError as bad:
@@ -236,6 +272,7 @@
         """A request has come whole."""
         head, body = self._head, bytes(self._body)
         assert head is not None
+        self._await_no_more()
         self.used = True
         path = head.target.partition(b"?")[0]
         if path == _READY_PATH:
@@ -281,6 +318,7 @@
         """End our side and drop what still comes: closing on unread bytes would reset the answer away."""
         if self._transport is not None:
             self._lingering = True
+            self._await_no_more()
             self._transport.write_eof()
             asyncio.get_running_loop().call_later(_LINGER_S, self.close)
 
