--- a/tests/test_draw.py
+++ b/tests/test_draw.py
@@ -175,6 +175,21 @@
     assert stage.balancer._is_cold(server)
 
 
+@pytest.mark.parametrize("errors", [1, 2])
+def test_a_server_that_fails_one_class_twice_is_left_by_it_and_kept_by_others(errors: int) -> None:
+    # Guards requests that may not be sent again: what the server answers to others hides its errors.
+    stage = Stage()
+    bad = names(6)[0]
+    stage.servers([bad])  # so it gets them all
+    for _ in range(errors):
+        stage.end(stage.request("pay"), Outcome.ERROR)
+        stage.end(stage.request())
+    stage.servers(names(6))
+    pays = {stage.target(stage.request("pay")) for _ in range(24)}  # all held, so all are drawn
+    looks = {stage.target(stage.request()) for _ in range(24)}
+    assert (bad in pays) == (errors == 1) and bad in looks
+
+
 def test_a_server_that_faults_a_request_is_not_sick_and_no_other_is_asked() -> None:
     # Guards healthy servers against a client that sends what every server faults.
     stage = Stage()
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -1000,6 +1000,12 @@
         if event.outcome is Outcome.ERROR:
             # A quick error must not look like a quick server: it counts as the slowest answer there is.
             self._pace(attempt.server, request, int(PACE_CLIP * self._usual(request)))
+            if (
+                request.flow in attempt.server.turned_away
+            ):  # again, none answered between: it fails just these
+                self._turned_away(request, attempt.server, None)
+            else:
+                attempt.server.turned_away[request.flow] = (self._now, 0)
         if event.outcome is Outcome.DELIVERED:
             self._served_aims.add(self._now, request.kind.aim_us)
         if event.outcome is Outcome.DELIVERED and self._now != self._back_at:
