Give up clients that leave their answer unread for 3 s

Such a connection was never at rest, so it was neither closed nor made room with: enough of them would take every descriptor that clients may have. Found by reading; no recording shows it, so there are no figures.

--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -303,6 +303,26 @@
     play(scene())
 
 
+def test_a_client_that_leaves_its_answer_unread_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards the descriptors: its connection would never be at rest.
+    monkeypatch.setattr(frontend, "_UNREAD_S", 0.1)
+
+    async def scene() -> None:
+        async with world(lambda *_: answer(200, bytes(60_000))) as w:
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+            sock.setblocking(False)
+            await asyncio.get_running_loop().sock_connect(sock, w.sidecar.frontend.address)
+            for _ in range(200):
+                with contextlib.suppress(BlockingIOError):
+                    sock.send(request())
+            await until(lambda: w.sidecar.frontend.connections)
+            await until(lambda: not w.sidecar.frontend.connections)
+            sock.close()
+
+    play(scene())
+
+
 def test_a_held_request_is_not_given_up_as_slow(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(frontend, "_WHOLE_S", 0.05)
 
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -26,6 +26,7 @@
 _WHOLE_S = (
     2.0  # from its connection or its first byte, what a request may take to come: after 3 s it is owed an end
 )
+_UNREAD_S = 3.0  # how long a client may leave its answer unread: longer than any of them is waited for
 _LINGER_S = 1.0  # how long an ended connection is read on, so that its answer arrives
 _REASONS = {
     200: b"OK",
@@ -214,9 +215,13 @@
 
     def pause_writing(self) -> None:
         self._stuck = True
+        if self._transport is not None:
+            self._await_no_more()
+            self._due = asyncio.get_running_loop().call_later(_UNREAD_S, self._transport.abort)
 
     def resume_writing(self) -> None:
         self._stuck = False
+        self._await_no_more()
         if self._call is None:
             self._next_request()
 
