Hold no request longer than its class is waited for

X-Budget was taken as it came: a peer that claims years had its entries in the agenda and the timers kept as long. It counts for no more than the class's deadline now.

--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -323,6 +323,17 @@
     play(scene())
 
 
+def test_no_request_is_held_longer_than_its_class_is_waited_for() -> None:
+    # Guards the memory: what is kept for a request is kept as long as it claims to have.
+    async def scene() -> None:
+        async with world(served) as w:
+            heard = w.hear()
+            assert (await w.ask(budget="1e9"))[0] == 200
+            assert [each.remaining_us for each in heard if isinstance(each, RequestArrived)] == [2_000_000]
+
+    play(scene())
+
+
 def test_a_held_request_is_not_given_up_as_slow(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(frontend, "_WHOLE_S", 0.05)
 
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -113,6 +113,7 @@
     kind = next((each for each in settings.classes if each.name == call.service_class), None)
     if kind is None:
         raise BadRequest(400, "x-call-class is not known")
+    call.budget_us = min(call.budget_us, kind.deadline_us)  # nobody waits longer, and it is held as long
     if settings.tenants and call.tenant not in {each.name for each in settings.tenants}:
         raise BadRequest(400, "x-caller is not known")
     if call.method != (b"GET" if kind.repeat is Repeat.SAFE else b"POST"):
