--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -120,7 +120,6 @@
 MIX_AIMS = 4.0  # what is asked by class and tenant is averaged over this many of the longest aim
 FREE = 0.5  # up to this part of the window all are let in, and the window does not grow
 STEEP = 4.0  # pressure at a full window: of the typical requests one in fifty is let in
-AWAY_AIMS = 0.6  # a refused client is asked to stay away for about this part of its aim
 SLANT = 2.0  # the least worthy feel this many times the pressure, the most worthy almost none
 
 # -- Records ------------------------------------------------------------------------------------------
@@ -226,7 +225,6 @@
     def __init__(self, settings: Settings, seed: int) -> None:
         self._settings = settings
         self._random = random.Random(seed)
-        self._jitter = random.Random(seed + 1)
         self._classes = {each.name: each for each in settings.classes}
         self._tenants = {each.name: each for each in settings.tenants}
         self._all_shares = sum(each.share for each in settings.tenants) or 1.0
@@ -942,15 +940,9 @@
         harmless = request.kind.repeat is Repeat.SAFE or not any(a.may_have_run for a in request.attempts)
         if request.kind.repeat is Repeat.KEYED and request.kind.group is Group.ALL:
             harmless = True
-        self._actions.append(Refuse(request.ident, self._away(request)) if harmless else Fail(request.ident))
+        self._actions.append(Refuse(request.ident) if harmless else Fail(request.ident))
         self._close(request)
 
-    def _away(self, request: Request) -> int:
-        """How long a refused client should stay away: repeats at once would crowd out what may be served."""
-        limits = self._settings.limits
-        wait = AWAY_AIMS * request.kind.aim_us * (0.5 + self._jitter.random())  # not all at once
-        return min(int(wait), limits.max_retry_after_us) if limits.retry_after else 0
-
     def _close(self, request: Request) -> None:
         """Nothing is owed any more; attempts still out are called off where that is permitted."""
         request.answered = True
