Measure a cold server's allowance by the best rate warm ones served, not the present one

Counted across 40 sidecars, second by second: until 15 s some 900 sends a second; at 16 s the 24 servers that stayed get 745 (31 each, up to 46) and 480 to 800 requests are held at once, more than they bear; then they are slow for good (pace 2) and get 110 to 250 a second, while the 36 cold ones get 91 to 149, 3 to 4 each, at 10 s of age, with 0 or 1 in flight and quicker answers than the warm ones.

Told apart from the window: it let in what the slow servers answered; the cold ones were held back by their own allowance (0.0 to 0.5 of a request saved at n35 at 20 s). From discovery: the list named all 60 by 14 s.

At fault: Balancer._bearable_by_mean took what warm servers serve now for what a server can serve. When the warm ones choke they serve little, so the cold allowance falls just when it is needed.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -263,6 +263,17 @@
     assert 0.0 < rates[1] < 0.5 * rates[0]
 
 
+def test_a_cold_server_is_sent_no_less_when_the_warm_ones_stop_answering() -> None:
+    stage = Stage()
+    stage.servers(names(5))
+    stage.serve(200, every_us=10 * MS)
+    stage.servers([ListedServer("10.0.0.9:80", zone="east", started_at=stage.now)], ListKind.CHANGES)
+    stage.request()
+    served = stage.balancer._bearable_by_mean()
+    stage.wait(5 * S)  # more than the span over which rates are averaged
+    assert stage.balancer._bearable_by_mean() > 0.5 * served > 0.0
+
+
 def test_a_warm_server_is_not_held_back() -> None:
     stage = Stage()
     stage.servers(names(2))
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -1198,13 +1198,18 @@
         return server.allowance >= min(cost, most)
 
     def _bearable_by_mean(self) -> float:
-        """What a warm server serves for this balancer; worked out once for each instant."""
+        """What a warm server serves for this balancer, or has served of late: it can do so when it does not.
+
+        Guards against cold servers left idle while the warm ones drown, since those then serve little.
+        """
         if self._bearable_at != self._now:
+            faded = math.exp((self._bearable_at - self._now) / self._settings.rules.cold_us)
             self._bearable_at = self._now
             warm = [each for each in self._ready if not self._is_cold(each)]
             peers = warm or self._ready  # ejected ones too: they served a part of what is counted
             served = self._served_warm if warm else self._arrivals
-            self._bearable = served.per_us(self._now) / max(min(len(peers), self._reach()), 1)
+            rate = served.per_us(self._now) / max(min(len(peers), self._reach()), 1)
+            self._bearable = max(rate, self._bearable * faded)
             self._mean_size = sum(each.nominal for each in peers) / max(len(peers), 1)
         return self._bearable
 
