--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -274,6 +274,23 @@
     assert stage.balancer._bearable_by_mean() > 0.5 * served > 0.0
 
 
+def test_a_cold_server_is_sent_most_of_what_its_warmth_allows_and_no_more() -> None:
+    stage = Stage()
+    stage.servers(names(5))
+    cold = ListedServer("10.0.0.9:80", zone="east", started_at=START + 15 * S)
+    while stage.now < START + 25 * S:
+        if stage.now == START + 20 * S:
+            stage.servers([cold], ListKind.CHANGES)
+        requests = [stage.request() for _ in range(10)]
+        stage.wait(50 * MS)
+        for each in requests:
+            stage.end(each)
+    sent = [each.server for at, each in stage.sends() if at >= START + 20 * S]
+    warm_each = sum(name != cold.server for name in sent) / 5
+    warmth = 0.2 + 0.8 * 7.5 / 10  # on average
+    assert 0.6 < sent.count(cold.server) / (warm_each * warmth) < 0.9
+
+
 def test_a_warm_server_is_not_held_back() -> None:
     stage = Stage()
     stage.servers(names(2))
