--- a/topazbank/net/discovery.py
+++ b/topazbank/net/discovery.py
@@ -138,15 +138,17 @@
 
     async def _ask(self, target: str, limit_s: float) -> bool:
         told: Told | None = None
-        asked = self._address
+        asked, began = self._address, asyncio.get_running_loop().time()
         try:
             async with asyncio.timeout(limit_s):
                 told = self._read(await self._call(target))
             if asked != self._address:
                 return False  # a single fetch from where the service was: its version means nothing now
             self._version = told.version
+            end = f"version {told.version}, {len(told.lines)} lines{', all' if told.complete else ''}"
         except (OSError, ValueError, TimeoutError) as fault:
-            log.warning("discovery: %s", fault or type(fault).__name__)
+            end = str(fault) or type(fault).__name__
+        log.info("discovery: %.100s after %.1f s", end, asyncio.get_running_loop().time() - began)
         self._told(told)
         return told is not None
 
