Spread the group's calls to discovery, and back off by the group's size

Counted across the fleet: 40 first calls at 0.2 s, 16 answered, 24 failed at 2.2 s; these call again within 0.5 s and 21, 21 and 21 fail after 2 s each, at 4.5, 7.3 and 10.5 s. After the restart 30 calls at 13.2 s, 13 answered, then 10 to 36 failures a second and none answered to the end, but to those that already watched. 16 calls are served in the first 2 s, none later: discovery works off calls that were given up on long ago, and their repeats wait behind them and fail too.

At fault: Balancer.handle asked at the first event, in step with all others; _ask_again_later waited 0.25 to 2.5 s whatever the size of the group.

--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -70,7 +70,8 @@
 def test_a_killed_instance_forgets_all_and_may_begin_again_in_the_same_batch() -> None:
     work = ["WORK_ITEM", "sidecar-1", 5, "look", None, None, 900_000, None, 0]
     end = ["ATTEMPT_END", "sidecar-1", 5, 0, "10.0.0.1:80", "delivered", 100, True, {"util": 0.5}]
-    code, reply, _ = play(begin(), [work, ["EXIT", "sidecar-1"], *begin()], [end])
+    wake = ["WAKE", "sidecar-1", "agenda"]
+    code, reply, _ = play(begin(), [wake, work, ["EXIT", "sidecar-1"], *begin()], [end, wake])
     assert code == 0
     assert [each[0] for each in reply].count("FOLLOW") == 2
 
--- a/tests/test_draw.py
+++ b/tests/test_draw.py
@@ -323,7 +323,9 @@
     drawn = stage.balancer._drawn
 
     def watch(pool: list[Server], odds: list[float], count: int) -> list[Server]:
-        seen.append(odds[0] / odds[1])
+        by_name = {each.name: chance for each, chance in zip(pool, odds, strict=True)}
+        slow = by_name.pop(names(5)[0])
+        seen.append(slow / max(by_name.values()))
         return drawn(pool, odds, count)
 
     monkeypatch.setattr(stage.balancer, "_drawn", watch)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -190,9 +190,29 @@
 def test_the_list_is_followed_from_the_first_event() -> None:
     stage = Stage()
     stage.servers(names(2), ListKind.REMEMBERED)
+    stage.wait(0)
     assert stage.said(Follow) == [Follow(True)]
 
 
+def test_a_large_group_asks_discovery_spread_out_at_the_start_and_after_failures() -> None:
+    first, again = [], []
+    for seed in range(40):
+        stage = Stage(settings(group_size=40), seed=seed)
+        stage.servers(names(2), ListKind.REMEMBERED)
+        stage.wait(4 * S)
+        asked = [at for at, each in stage.log if isinstance(each, Follow)]
+        first.append(asked[0] - START)
+        stage.now = max(stage.now, asked[0] + 2 * S)
+        failed = stage.now
+        stage.play(ServersListed(ListKind.FAILED))
+        stage.wait(4 * S)
+        again.append(next(at for at, each in stage.log if isinstance(each, Follow) and at > failed) - failed)
+    for waits in (first, again):
+        busiest = max(sum(at <= each < at + S for each in waits) for at in waits)
+        assert busiest <= 20  # of 40 in any second
+    assert min(again) > 500 * MS
+
+
 def test_nothing_is_asked_where_changes_come_unasked() -> None:
     stage = Stage(settings(discovery="pushed"))
     stage.servers(names(2), ListKind.REMEMBERED)
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -1,6 +1,6 @@
 """All decisions of a sidecar balancer, by best-of-k with redraw.
 
-Types, events and actions: topazbank/interface.py.  The reasons for each departure: docs/design.md.
+Types, events and actions: topazbank/interface.py.  What went wrong without its guards: docs/incidents/.
 
 Per request: draw k random distinct ready servers and send to the one with the fewest of this balancer's own
 requests in flight; on a full answer draw again, wider.  Every attempt leaves through `_send` and every final
@@ -58,9 +58,7 @@
 BEARABLE_SPENT = 0.7  # a probed server may be expected to take this part of the aim, for the most worthy
 BEARABLE_SPREAD = 0.5  # and this much less of it for the least worthy
 FIT_STEP = 0.03  # what a held request costs in time is fitted over the last thirty answers or so
-FIT_CLIP = (
-    3.0  # one answer counts for at most this many times what was expected: a jam that passes is no rule
-)
+FIT_CLIP = 3.0  # one answer counts for at most this many times what was expected: jams are no rule
 FIT_FLOOR = 0.2  # but for this part of the aim at any rate
 FIT_LEAST = 5.0  # fewer say nothing
 BEAT_AIMS = 0.1  # while anything is out, a timer falls due this often, so that an own stall is noticed
@@ -71,7 +69,8 @@
 COLD_SHARE = 0.25  # part of the pushing-over load at which a cold budget fills: its true size is not told
 COLD_BURST = 0.18  # part of that load that may come at once
 RATE_SPANS = 2.0  # rates are averaged over this many fall times
-ASK_AGAIN = 0.05  # first wait before asking discovery again, of the time allowed without asking
+ASK_SLOT = 0.01  # for each balancer of the group, the calls to discovery spread out by this part of the time
+ASK_AGAIN = 0.05  # allowed without asking; first wait before asking again, of that time too
 ASK_AGAIN_MOST = 0.25  # and the longest: three failed calls in a row still fit
 REMOTE_LEAST = 0.25  # odds of a server in another zone while the own zone is as quick
 CROSS_GAIN = 2.0  # a crossing must spare this many times its price, in parts of the aim
@@ -297,7 +296,7 @@
         self._notice_stall()
         if not self._begun:
             self._begun = True
-            self._ask()
+            self._ask_in(self._ask_spread() * self._random.random())
         match event:
             case AttemptEnded():
                 self._attempt_ended(event)
@@ -362,12 +361,24 @@
         self._ask_due = self._now + int(wait)
         self._schedule(self._ask_due, _ASK, _WHOLE)
 
+    def _ask_spread(self) -> float:
+        """The time over which the calls of the whole group spread out.
+
+        Guards against a discovery that all ask in step: it works off calls that were given up long ago, and
+        the calls that repeat them wait behind those and fail as well, over and over.
+        """
+        return ASK_SLOT * self._settings.rules.ask_within_us * (self._settings.group_size - 1)
+
     def _ask_again_later(self) -> None:
-        """After a failed call: wait twice as long each time, with jitter, so that instances spread out."""
-        allowed = self._settings.rules.ask_within_us
-        wait = min(ASK_AGAIN * allowed * 2**self._failed_calls, ASK_AGAIN_MOST * allowed)
+        """After a failed call: wait twice as long each time, with jitter, so that instances spread out.
+
+        Four times `ask_within_us` is allowed after a failed call.
+        """
+        allowed, spread = self._settings.rules.ask_within_us, self._ask_spread()
+        wait = max(ASK_AGAIN * allowed, spread) * 2**self._failed_calls
+        wait = min(wait, max(ASK_AGAIN_MOST * allowed, min(4.0 * spread, 2.0 * allowed)))
         self._failed_calls = min(self._failed_calls + 1, 8)
-        self._ask_in(wait * (0.5 + 0.5 * self._random.random()))
+        self._ask_in(wait * (0.25 + 0.75 * self._random.random()))
 
     def _servers_listed(self, event: ServersListed) -> None:
         if event.kind is ListKind.FAILED:
@@ -394,9 +405,8 @@
     def _server_listed(self, line: ListedServer) -> None:
         server = self._servers.get(line.server)
         if server is None:
-            server = self._servers[line.server] = Server(
-                line.server, len(self._servers), self._random.random()
-            )
+            server = Server(line.server, len(self._numbered), self._random.random())
+            self._servers[line.server] = server
             self._numbered.append(server)
         server.zone = line.zone
         server.cell = line.cell
@@ -422,9 +432,8 @@
         self._extra = min(self._extra + EXTRA_PER_REQUEST, EXTRA_PER_REQUEST * EXTRA_SAVED)
         answer_by = self._now + event.remaining_us - TICKS_EARLY * self._settings.tick_us
         cost = self._relative_cost(kind, event.cost_us)
-        request = Request(
-            event.request, kind, answer_by, cost, (kind.name, event.tenant), not self._near_first
-        )
+        flow = (kind.name, event.tenant)
+        request = Request(event.request, kind, answer_by, cost, flow, not self._near_first)
         self._requests[event.request] = request
         self._schedule(answer_by, event.request, _WHOLE)
         if self._overloaded_for(request, event.tenant) or self._is_stale(kind, event.remaining_us):
@@ -992,9 +1001,7 @@
         if event.outcome is Outcome.ERROR:
             # A quick error must not look like a quick server: it counts as the slowest answer there is.
             self._pace(attempt.server, request, int(PACE_CLIP * self._usual(request)))
-            if (
-                request.flow in attempt.server.turned_away
-            ):  # again, none answered between: it fails just these
+            if request.flow in attempt.server.turned_away:  # again, none answered between: just these fail
                 self._turned_away(request, attempt.server, None)
             else:
                 attempt.server.turned_away[request.flow] = (self._now, 0)
@@ -1137,9 +1144,8 @@
             self._actions.append(Log(f"ejected {server.name}: {reason}"))
         aims = min(EJECT_AIMS * 2**server.ejections, EJECT_AIMS_MOST)
         server.ejections = min(server.ejections + 1, 8)
-        server.ejected_until = self._now + int(
-            aims * self._longest_aim * (0.75 + 0.5 * self._random.random())
-        )
+        spread = 0.75 + 0.5 * self._random.random()
+        server.ejected_until = self._now + int(aims * self._longest_aim * spread)
 
     def _readmit(self, server: Server) -> None:
         server.ejected_until = None
