Start a cold server's allowance at a random part of a request

Counted: 40 sidecars of 25 requests a second or less each; one's allowance for a cold server fills by some 0.07 of a request a second and starts at 0, so it saves up for 10 s and more before its first send, the same at all.

Told apart from the draw (cold servers with room are drawn, in flight 0) and from the rate at which allowances fill (right in sum, too late in time).

At fault: Balancer._turned_cold set the allowance to 0; a whole request is needed to send. A random start keeps the sum and spreads the first sends.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -311,6 +311,22 @@
     assert 0.6 < sent.count(cold.server) / (warm_each * warmth) < 0.9
 
 
+def test_small_balancers_begin_to_send_to_a_cold_server_one_after_the_other() -> None:
+    room = []
+    for seed in range(40):
+        stage = Stage(seed=seed)
+        stage.servers(names(5))
+        stage.serve(40, every_us=200 * MS)  # one request a second to each server
+        stage.servers([ListedServer("10.0.0.9:80", zone="east", started_at=stage.now)], ListKind.CHANGES)
+        began, server = stage.now, stage.balancer._servers["10.0.0.9:80"]
+        while not stage.balancer._cold_room(server, 1.0):
+            stage.wait(100 * MS)
+            stage.balancer._now = stage.now
+        room.append(stage.now - began)
+    assert 1 <= sum(each <= S for each in room) <= 15
+    assert max(sum(at <= each < at + S for each in room) for at in room) <= 15  # of 40 in any second
+
+
 def test_a_warm_server_is_not_held_back() -> None:
     stage = Stage()
     stage.servers(names(2))
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -297,7 +297,7 @@
         if not self._begun:
             self._begun = True
             self._ask_in(self._ask_spread() * self._random.random())
-        match event:
+        match event:  # messages: none are sent, so none are awaited
             case AttemptEnded():
                 self._attempt_ended(event)
             case RequestArrived():
@@ -312,8 +312,6 @@
                 self._answer_started(event)
             case ProbeEnded():
                 self._probe_ended(event)
-            case _:
-                pass  # messages: none are sent, so none are awaited
         self._take_turns()
         self._keep_beat()
         self._arm_timer()
@@ -1026,11 +1024,7 @@
             if event.outcome is Outcome.FULL:
                 request.said_full += 1
                 self._place(request)
-            elif (
-                event.outcome is not Outcome.INVALID  # others would say the same
-                and self._may_run_again(request)
-                and self._extra >= 1.0
-            ):
+            elif event.outcome is not Outcome.INVALID and self._may_run_again(request) and self._extra >= 1.0:
                 self._extra -= 1.0
                 self._place(request)
             elif not request.is_out():
@@ -1170,7 +1164,7 @@
 
     def _turned_cold(self, server: Server, since: int) -> None:
         server.cold_since = since
-        server.allowance = 0.0
+        server.allowance = self._random.random()
         server.allowance_at = self._now
 
     def _is_cold(self, server: Server) -> bool:
@@ -1188,7 +1182,9 @@
         """Whether a cold server's budget has room for a request of this cost.
 
         Guards rule 4.  The budget fills with a part of what would push the server over, judged by what this
-        balancer's warm servers serve for it; all balancers doing so stay under the whole.  It starts empty.
+        balancer's warm servers serve for it; all balancers doing so stay under the whole.  It starts with a
+        random part of a request: small balancers that all had to save up a whole one would send nothing for
+        seconds, then all at once.
         """
         if not self._is_cold(server):
             return True
