--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -224,6 +224,7 @@
     def __init__(self, settings: Settings, seed: int) -> None:
         self._settings = settings
         self._random = random.Random(seed)
+        self._stagger = random.Random(seed + 1)  # its own stream: when to begin must not move the draws
         self._classes = {each.name: each for each in settings.classes}
         self._tenants = {each.name: each for each in settings.tenants}
         self._all_shares = sum(each.share for each in settings.tenants) or 1.0
@@ -296,7 +297,7 @@
         self._notice_stall()
         if not self._begun:
             self._begun = True
-            self._ask_in(self._ask_spread() * self._random.random())
+            self._ask_in(self._ask_spread() * self._stagger.random())
         match event:  # messages: none are sent, so none are awaited
             case AttemptEnded():
                 self._attempt_ended(event)
@@ -1164,7 +1165,7 @@
 
     def _turned_cold(self, server: Server, since: int) -> None:
         server.cold_since = since
-        server.allowance = self._random.random()
+        server.allowance = self._stagger.random()
         server.allowance_at = self._now
 
     def _is_cold(self, server: Server) -> bool:
