Take JSON nested too deep for a failed call, and keep a good list from junk

Found by going through what bad input discovery may send, with small probes: a body of 100,000 "[" raised RecursionError inside the watch, which ended with nobody told, so a sidecar that had its list never asked again. A whole list with some unreadable entries made each of those servers gone, with a log line for each entry. A body of up to 8 MiB was parsed, which as "{}" entries takes over 170 MB where 80 are allowed.

Now: a failed call, asked again with back-off; a whole list that holds junk is read as changes, with one bounded line; 1 MiB at most.

--- a/topazbank/net/discovery.py
+++ b/topazbank/net/discovery.py
@@ -22,7 +22,7 @@
 _LATE_S = 1.5  # and what it may take beyond that: its news counts as told 2 s after the wait
 _CALL_S = 5.0  # what a call that does not wait may take
 _IDLE_S = 0.1  # between watches that come back at once with nothing, well within the 200 ms of one watch
-_LIST_MOST = 8 * 1024 * 1024
+_LIST_MOST = 1024 * 1024  # thousands of servers; parsed, junk takes some twenty times its size
 _STATES = {"active": ServerState.READY, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
 
 
@@ -44,19 +44,25 @@
 
 
 def parse_list(given: object) -> Told:
-    """Read discovery's form; a junk entry is skipped with a log line, a junk list is a ValueError."""
+    """Read discovery's form; junk entries are skipped with one log line, a junk list is a ValueError.
+
+    A whole list that holds junk is read as changes: who is missing may be what could not be read.
+    """
     if not isinstance(given, Mapping) or not isinstance(given.get("endpoints"), list):
         raise ValueError("a list of servers is an object with endpoints")
     version = given.get("index")
     if type(version) is not int:
         raise ValueError("index: a whole number is needed")
-    lines = []
+    lines, skipped, first = [], 0, ""
     for entry in given["endpoints"]:
         try:
             lines.append(_listed(entry))
-        except (ValueError, TypeError, KeyError, AttributeError) as junk:
-            log.warning("list entry skipped: %r: %.120r", junk, entry)
-    return Told(version, given.get("snapshot") is True, lines)
+        except (ValueError, TypeError, KeyError, AttributeError) as fault:
+            skipped += 1
+            first = first or f"{fault!r:.80}: {entry!r:.120}"
+    if skipped:
+        log.warning("%d of %d list entries skipped, first %s", skipped, len(given["endpoints"]), first)
+    return Told(version, given.get("snapshot") is True and not skipped, lines)
 
 
 def _listed(entry: Mapping[str, Any]) -> Listed:
@@ -146,7 +152,7 @@
                 return False  # a single fetch from where the service was: its version means nothing now
             self._version = told.version
             end = f"version {told.version}, {len(told.lines)} lines{', all' if told.complete else ''}"
-        except (OSError, ValueError, TimeoutError) as fault:
+        except (OSError, ValueError, RecursionError) as fault:  # JSON nested too deep is junk like any other
             end = str(fault) or type(fault).__name__
         log.info("discovery: %.100s after %.1f s", end, asyncio.get_running_loop().time() - began)
         self._told(told)
