--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import heapq
+import itertools
 import math
 import random
 from collections import deque
@@ -231,8 +232,9 @@
         self._longest_aim = max(each.aim_us for each in settings.classes)
         self._now = 0
         self._actions: list[Action] = []
-        self._servers: dict[str, Server] = {}  # every server ever listed
-        self._numbered: list[Server] = []  # by number
+        self._servers: dict[str, Server] = {}  # those listed, and those gone of which something is out
+        self._numbered: dict[int, Server] = {}  # by number
+        self._numbers = itertools.count()
         self._ready: list[Server] = []
         self._near: list[Server] = []  # of these, the ones in the own zone
         self._requests: dict[int, Request] = {}
@@ -393,6 +395,7 @@
                     server.state = ServerState.GONE
         for line in event.servers:
             self._server_listed(line)
+        self._forget_gone()
         self._ready = [each for each in self._servers.values() if each.state is ServerState.READY]
         self._ready.sort(key=lambda each: each.place)
         self._near = [each for each in self._ready if each.zone == self._settings.zone]
@@ -401,12 +404,20 @@
             if server.pace <= 0.0:  # until answers tell, a server is as quick as its nominal size
                 server.pace = mean_size / server.nominal if server.nominal > 0.0 else 1.0
 
+    def _forget_gone(self) -> None:
+        """Forget servers that left: each deploy brings new names.  One that comes back is a new server."""
+        gone = [each for each in self._servers.values() if each.state is ServerState.GONE]
+        for each in gone:
+            if not each.in_flight and each.probed_at is None:
+                del self._servers[each.name], self._numbered[each.number]
+                if each in self._ejected:
+                    self._ejected.remove(each)
+
     def _server_listed(self, line: ListedServer) -> None:
         server = self._servers.get(line.server)
         if server is None:
-            server = Server(line.server, len(self._numbered), self._random.random())
-            self._servers[line.server] = server
-            self._numbered.append(server)
+            server = Server(line.server, next(self._numbers), self._random.random())
+            self._servers[line.server] = self._numbered[server.number] = server
         server.zone = line.zone
         server.cell = line.cell
         if server.state is ServerState.GONE or line.nominal != server.nominal:
@@ -678,17 +689,10 @@
         if self._remote_at != self._now:
             self._remote_at, self._remote = self._now, 1.0 if self._near_first else self._weigh_zones()
         power = min(max(1.0, float(request.size)), HEAVY_POWER)
-        odds = [
-            self._odds(each, power) * (1.0 if each.zone == self._settings.zone else self._remote)
-            for each in pool
-        ]
-        best: Server | None = None
-        best_rank = (0, 0.0)
+        here, away = self._settings.zone, self._remote
+        odds = [self._odds(each, power) * (1.0 if each.zone == here else away) for each in pool]
         drawn = self._drawn(pool, odds, DRAWN << request.said_full)
-        for server in drawn:
-            busy = self._busy(server)
-            if best is None or (busy, server.pace) < best_rank:
-                best, best_rank = server, (busy, server.pace)
+        best = min(drawn, key=lambda each: (self._busy(each), each.pace))
         if self._probes > 1 and self._now != self._back_at:  # others that stalled with it would hear the same
             return best, sorted(drawn, key=self._busy)[: self._probes]
         return best, []
@@ -1075,7 +1079,7 @@
         that answered anything since is slow, not silent; if others were as silent, all are overloaded.
         """
         server = attempt.server
-        silent = server.last_answer_at <= attempt.sent_at
+        silent, answered = server.last_answer_at <= attempt.sent_at, self._answers - attempt.answers_before
         if self._now == self._back_at:
             # Its answer may be among what came meanwhile.
             self._schedule(self._now + self._settings.tick_us, request.ident, attempt.index)
@@ -1092,9 +1096,7 @@
         enough = max(SILENCE * self._patience(request, server), SILENT_AIMS * request.kind.aim_us)
         if silent and waited < enough:
             self._schedule(self._now + int(enough) - waited, request.ident, attempt.index)
-        elif (
-            silent and server.ejected_until is None and self._answers - attempt.answers_before >= QUIET_PEERS
-        ):
+        elif silent and server.ejected_until is None and answered >= QUIET_PEERS:
             self._eject(server, "silent", SILENT_MOST)
         silent = silent and server.ejected_until is not None
         limits = self._settings.limits
@@ -1232,8 +1234,8 @@
                     self._moved.append(self._queues[what])
                 continue
             if index == _IDLE:
-                server = self._numbered[what]
-                if server.idle and server.close_due <= self._now:
+                server = self._numbered.get(what)
+                if server is not None and server.idle and server.close_due <= self._now:
                     server.idle = 0
                     self._actions.append(CloseIdle(server.name))
                 continue
@@ -1256,7 +1258,8 @@
         if index == _TURN:
             return what not in self._queues or due != self._queues[what].rests_until
         if index == _IDLE:
-            return due != self._numbered[what].close_due or not self._numbered[what].idle
+            server = self._numbered.get(what)
+            return server is None or due != server.close_due or not server.idle
         if what in (_ASK, _BEAT):
             return due != (self._ask_due if what == _ASK else self._beat_due)
         request = self._requests.get(what)
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -424,6 +424,7 @@
             server = line.server
             self._upstream.update(server.server, line.address, server.started_at, server.state)
         self.handle(ServersListed(kind, [line.server for line in told.lines], told.version))
+        self._upstream.forget_gone()
 
 
 def _head(call: Call, left_s: float) -> h11.Request:
--- a/topazbank/net/upstream.py
+++ b/topazbank/net/upstream.py
@@ -310,6 +310,12 @@
                 endpoint.state = ServerState.GONE
                 self._withdraw(endpoint)
 
+    def forget_gone(self) -> None:
+        """Forget servers that left, once nobody sends to them any more; what is out keeps its endpoint."""
+        for endpoint in list(self._endpoints.values()):
+            if endpoint.state is ServerState.GONE and not endpoint.dialling and not endpoint.idle:
+                del self._endpoints[endpoint.name]
+
     def _withdraw(self, endpoint: Endpoint) -> None:
         """End what was not written to a server that takes nothing new: a slow dial may outlast the grace."""
         self.close_idle(endpoint.name)
