Let up to eight sidecars ask discovery at once, and spread only the others

At 17 s a restarted sidecar answers 1123 x 503 in its first second while its remembered list is old.

At fault: Balancer._ask_spread made even one of two sidecars wait up to 0.1 s for its first list, though discovery answers the calls of a small group in the time of one.

--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -70,8 +70,9 @@
 COLD_SHARE = 0.25  # part of the pushing-over load at which a cold budget fills: its true size is not told
 COLD_BURST = 0.18  # part of that load that may come at once
 RATE_SPANS = 2.0  # rates are averaged over this many fall times
-ASK_SLOT = 0.01  # for each balancer of the group, the calls to discovery spread out by this part of the time
-ASK_AGAIN = 0.05  # allowed without asking; first wait before asking again, of that time too
+ASK_AT_ONCE = 8  # so many balancers may call discovery at once: it answers them in the time of one call
+ASK_SLOT = 0.01  # for each further one, calls spread out by this part of the time allowed without asking
+ASK_AGAIN = 0.05  # first wait before asking discovery again, of that time too
 ASK_AGAIN_MOST = 0.25  # and the longest: three failed calls in a row still fit
 REMOTE_LEAST = 0.25  # odds of a server in another zone while the own zone is as quick
 CROSS_GAIN = 2.0  # a crossing must spare this many times its price, in parts of the aim
@@ -368,7 +369,8 @@
         Guards against a discovery that all ask in step: it works off calls that were given up long ago, and
         the calls that repeat them wait behind those and fail as well, over and over.
         """
-        return ASK_SLOT * self._settings.rules.ask_within_us * (self._settings.group_size - 1)
+        late = max(self._settings.group_size - ASK_AT_ONCE, 0)
+        return ASK_SLOT * self._settings.rules.ask_within_us * late
 
     def _ask_again_later(self) -> None:
         """After a failed call: wait twice as long each time, with jitter, so that instances spread out.
@@ -1148,8 +1150,7 @@
         server.ejected_until = None
         self._ejected.remove(server)
         self._stuck -= server.in_flight
-        server.ejections = 0
-        server.strikes = 0
+        server.ejections = server.strikes = 0
         self._actions.append(Log(f"readmitted {server.name}"))
 
     def _trial_due(self, request: Request) -> Server | None:
