--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -13,7 +13,6 @@
 import itertools
 import math
 import random
-from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
@@ -194,7 +193,6 @@
     asked: list[Server] = field(default_factory=list)  # the tied candidates that are probed for it
     asked_until: int = 0
     standing: float = 0.5  # the part of the traffic that is worth less
-    queue: Queue | None = None  # of its key, where requests of its class run in turn
 
     def __post_init__(self) -> None:
         self.size = max(-3, min(math.frexp(self.cost)[1], 4))
@@ -203,19 +201,6 @@
         """Whether an attempt has not ended yet."""
         return any(each.pending for each in self.attempts)
 
-    def is_over(self) -> bool:
-        """Whether it is answered and nothing of it is out."""
-        return self.answered and not self.is_out()
-
-
-@dataclass(slots=True, eq=False)
-class Queue:
-    """The requests of one key that run in turn, as they were taken; kept while the key is in use or rests."""
-
-    key: int
-    requests: deque[Request] = field(default_factory=deque)
-    rests_until: int = 0
-
 
 # -- The balancer -------------------------------------------------------------------------------------
 
@@ -239,8 +224,6 @@
         self._ready: list[Server] = []
         self._near: list[Server] = []  # of these, the ones in the own zone
         self._requests: dict[int, Request] = {}
-        self._queues: dict[int, Queue] = {}  # by key
-        self._moved: deque[Queue] = deque()  # queues whose head may have changed
         self._asking: dict[int, Request] = {}  # requests that wait for probes, by number
         self._by_held = Fit()  # time, in usual times, by what the server held
         self._probe_time: float | None = None  # the usual time of a probe
@@ -248,10 +231,9 @@
         self._crossing = CROSS_GAIN * settings.prices.cross_zone
         self._connecting = CROSS_GAIN * settings.prices.handshake
         self._near_first = self._probes > 1 and self._crossing >= CROSS_LEAST
-        self._in_order = any(each.by_arrival for each in settings.classes)
         full_proves = () if settings.rules.late_shedding else (Outcome.FULL,)
         self._proves_unrun = (Outcome.DIAL_FAILED, Outcome.UNSENT, *full_proves)
-        # Of each entry: due, order, request (or key, or _ASK), attempt (or _WHOLE, or _TURN).
+        # Of each entry: due, order, request (or _ASK), attempt (or _WHOLE).
         self._agenda: list[tuple[int, int, int, int]] = []
         self._agenda_order = 0
         self._timer_due: int | None = None
@@ -316,7 +298,6 @@
                 self._answer_started(event)
             case ProbeEnded():
                 self._probe_ended(event)
-        self._take_turns()
         self._keep_beat()
         self._arm_timer()
         return self._actions
@@ -439,7 +420,7 @@
         if kind is None:
             # A class that the settings do not name: the least is assumed of it.
             allowed = max(event.remaining_us, 1)
-            kind = ServiceClass(event.service_class, allowed, allowed, by_arrival=self._in_order)
+            kind = ServiceClass(event.service_class, allowed, allowed)
         self._arrivals.add(self._now, 1.0)
         self._extra = min(self._extra + EXTRA_PER_REQUEST, EXTRA_PER_REQUEST * EXTRA_SAVED)
         answer_by = self._now + event.remaining_us - TICKS_EARLY * self._settings.tick_us
@@ -450,8 +431,6 @@
         self._schedule(answer_by, event.request, _WHOLE)
         if self._overloaded_for(request, event.tenant) or self._is_stale(kind, event.remaining_us):
             self._finish(request)
-        elif kind.by_arrival and event.key is not None:
-            self._line_up(request, event.key)
         else:
             self._place(request)
 
@@ -490,41 +469,6 @@
         if request is not None and event.attempt < len(request.attempts):
             request.attempts[event.attempt].started = True
 
-    # -- Order: where a class asks for it, requests with one key run one at a time --------------------
-
-    def _line_up(self, request: Request, key: int) -> None:
-        queue = self._queues.get(key)
-        if queue is None:
-            queue = self._queues[key] = Queue(key)
-        request.queue = queue
-        queue.requests.append(request)
-        self._moved.append(queue)
-
-    def _take_turns(self) -> None:
-        """Place each request that has come to the head of its queue; one at rest is looked at again later.
-
-        A queue is forgotten once it is empty and rested, so keys that are not in use cost nothing.
-        """
-        while self._moved:
-            queue = self._moved.popleft()
-            while queue.requests and queue.requests[0].is_over():
-                queue.requests.popleft()
-            if self._now < queue.rests_until:
-                self._schedule(queue.rests_until, queue.key, _TURN)
-            elif not queue.requests:
-                self._queues.pop(queue.key, None)
-            elif not (head := queue.requests[0]).attempts and not head.answered and not head.asked:
-                self._place(head)  # if that ends it, its queue moves once more
-
-    def _has_turn(self, request: Request) -> bool:
-        """Whether the order of its key lets this request out now; its own further attempts may always go."""
-        queue = request.queue
-        if queue is None or request.attempts:
-            return True
-        while queue.requests and queue.requests[0].is_over():
-            queue.requests.popleft()
-        return queue.requests[0] is request and self._now >= queue.rests_until
-
     # -- Overload: refuse early, the least worthy first -----------------------------------------------
 
     def _feel(self, spent: float) -> None:
@@ -903,8 +847,6 @@
             return False  # rule 1: nothing after the final answer, nothing that cannot be answered in time
         if len(request.attempts) >= limits.max_attempts:
             return False
-        if not self._has_turn(request):
-            return False  # order
         if not limits.second_copies and request.is_out():
             return False  # rule 2
         if not self._may_run_again(request) or not self._in_group(request, server):
@@ -966,10 +908,8 @@
         self._forget_if_over(request)
 
     def _forget_if_over(self, request: Request) -> None:
-        if request.is_over():
+        if request.answered and not request.is_out():
             self._requests.pop(request.ident, None)
-            if request.queue is not None:
-                self._moved.append(request.queue)
 
     # -- How attempts end -----------------------------------------------------------------------------
 
@@ -982,8 +922,6 @@
             return
         attempt.pending = False
         attempt.may_have_run = event.outcome not in self._proves_unrun
-        if request.queue is not None and event.outcome in _MAY_RUN_ON:
-            request.queue.rests_until = self._now + self._settings.rules.turn_gap_us
         attempt.server.in_flight -= 1
         self._pending -= 1
         if attempt.server.ejected_until is not None:
@@ -1230,10 +1168,6 @@
             self._timer_due = None
         while self._agenda and self._agenda[0][0] <= self._now:
             _, _, what, index = heapq.heappop(self._agenda)
-            if index == _TURN:
-                if what in self._queues:
-                    self._moved.append(self._queues[what])
-                continue
             if index == _IDLE:
                 server = self._numbered.get(what)
                 if server is not None and server.idle and server.close_due <= self._now:
@@ -1256,8 +1190,6 @@
 
     def _is_idle(self, due: int, what: int, index: int) -> bool:
         """Whether nothing would be done when this entry falls due."""
-        if index == _TURN:
-            return what not in self._queues or due != self._queues[what].rests_until
         if index == _IDLE:
             server = self._numbered.get(what)
             return server is None or due != server.close_due or not server.idle
@@ -1282,11 +1214,9 @@
 _WHOLE = -1  # the agenda's mark for a request as a whole, not one of its attempts
 _IDLE = -4  # the agenda's mark for a server whose idle connections are to be closed
 _ASKED = -3  # the agenda's mark for a request whose probes were waited for long enough
-_TURN = -2  # the agenda's mark for a key whose rest ends
 _BEAT = -2  # the agenda's mark for the beat that tells of stalls
 _ASK = -1  # the agenda's mark for discovery; requests are never negative
 _CONNECTED = (Outcome.DELIVERED, Outcome.ERROR, Outcome.FULL, Outcome.INVALID)  # its connection stays
-_MAY_RUN_ON = (Outcome.EXPIRED, Outcome.DROPPED, Outcome.CANCELLED)  # the key rests after these
 
 
 @dataclass(slots=True, eq=False)
--- a/topazbank/interface.py
+++ b/topazbank/interface.py
@@ -119,7 +119,6 @@
     memory_us: int = 0
     streaming: bool = False
     aim_stretch: float = 0.0
-    by_arrival: bool = False  # requests with one key run one at a time, in the order they were taken
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,7 +158,6 @@
     fall_multiple: float = 1.0
     fall_us: int = 2_000_000
     late_shedding: bool = False  # servers also say "full" of work they had begun
-    turn_gap_us: int = 0  # how long a key rests after an attempt that may still be running
 
 
 @dataclass(frozen=True, slots=True)
@@ -246,7 +244,6 @@
                 fall_multiple=rules.number("fall_multiple", 1.0, low=0.001),
                 fall_us=rules.whole("fall_us", 2_000_000, low=1),
                 late_shedding=rules.flag("late_shedding", False),
-                turn_gap_us=rules.whole("turn_gap_us", 0),
             ),
             prices=Prices(
                 cross_zone=prices.number("cross_zone", 0.0),
@@ -272,7 +269,6 @@
         memory_us=each.whole("memory_us", 0),
         streaming=each.flag("streaming", False),
         aim_stretch=each.number("aim_stretch", 0.0),
-        by_arrival=each.flag("by_arrival", False),
     )
 
 
--- a/topazbank/wirehost.py
+++ b/topazbank/wirehost.py
@@ -75,7 +75,6 @@
         "memorySpanUs": "memory_us",
         "streaming": "streaming",
         "aimStretch": "aim_stretch",
-        "byArrival": "by_arrival",
     },
     "tenants": {"name": "name", "portion": "share", "quotaRps": "quota_per_s"},
     "report": {"columns": "columns", "source": "source"},
@@ -100,7 +99,6 @@
         "fallMultiple": "fall_multiple",
         "fallUs": "fall_us",
         "lateShedding": "late_shedding",
-        "turnGapUs": "turn_gap_us",
     },
     "prices": {
         "crossZone": "cross_zone",
