Overlay the operators' exclusions on the list in the module

An excluded server counts as draining until it is included, whatever the list, a trial, a retry or a new process of it says; then it is as listed, and cold from that moment: the list may tell of its restart later, or never. The draw, the send gate and the trials ask one question, Server.is_ready. Names that left are remembered, 4,096 at most, since only a name never listed is owed a no.

Not taken: changing ServerState itself. What the list said meanwhile would be lost, and a call back must return to it. Not taken: exclusions in net/. Trials and redraws would go on choosing what net/ then has to fail.

--- /dev/null
+++ b/tests/test_exclusions.py
@@ -0,0 +1,137 @@
+"""The operators' exclusions in the balancer: an overlay over what the list says."""
+
+from __future__ import annotations
+
+import pytest
+from helpers import S, Stage, names, settings
+
+from topazbank.interface import (
+    Exclude,
+    ExclusionAsked,
+    ExclusionsHeard,
+    ListedServer,
+    ListKind,
+    Outcome,
+    Send,
+    ServerState,
+)
+
+SERVERS = names(3)
+
+
+def stage_of(count: int = 3) -> Stage:
+    stage = Stage()
+    stage.servers(names(count))
+    return stage
+
+
+def ask(stage: Stage, server: str, excluded: bool) -> bool:
+    """Make the call; whether it was taken."""
+    return any(isinstance(each, Exclude) for each in stage.play(ExclusionAsked(server, excluded)))
+
+
+def targets(stage: Stage) -> set[str]:
+    """Where requests go, of which a few are in flight at any time."""
+    before = len(stage.log)
+    stage.serve(80)
+    return {each.server for _, each in stage.log[before:] if isinstance(each, Send)}
+
+
+@pytest.mark.parametrize("kind", [ListKind.COMPLETE, ListKind.CHANGES, ListKind.REMEMBERED])
+def test_an_excluded_server_is_left_out_whatever_the_list_says(kind: ListKind) -> None:
+    stage = stage_of()
+    assert ask(stage, SERVERS[0], True)
+    assert targets(stage) == set(SERVERS[1:])
+    lines = [ListedServer(each, zone="east", started_at=stage.now) for each in SERVERS[:1]]
+    stage.servers([*lines, *SERVERS[1:]], kind)
+    stage.wait(20 * S)  # long warm
+    assert targets(stage) == set(SERVERS[1:])
+
+
+def test_a_retry_and_a_trial_leave_an_excluded_server_out() -> None:
+    stage = stage_of(2)
+    for _ in range(2):  # two strikes eject the first
+        request = stage.request()
+        while stage.target(request) != SERVERS[0]:
+            stage.end(request)
+            request = stage.request()
+        stage.end(request, Outcome.DROPPED)
+    assert stage.balancer._ejected and ask(stage, SERVERS[0], True)
+    stage.wait(60 * S)  # its trial is long due
+    assert targets(stage) == {SERVERS[1]}
+    request = stage.request()
+    stage.end(request, Outcome.FULL)
+    assert {each.server for _, each in stage.sends(request)} == {SERVERS[1]}
+
+
+def test_one_call_back_ends_repeated_calls_out_and_the_server_is_cold() -> None:
+    stage = stage_of()
+    stage.serve(60)
+    for _ in range(3):
+        assert ask(stage, SERVERS[0], True)
+    assert ask(stage, SERVERS[0], False)
+    server = stage.balancer._servers[SERVERS[0]]
+    assert stage.balancer._is_cold(server)
+    stage.wait(11 * S)
+    assert targets(stage) == set(SERVERS) and not stage.balancer._is_cold(server)
+
+
+def test_a_server_back_from_its_ban_is_used_within_five_seconds() -> None:
+    for seed in range(10):
+        stage = Stage(seed=seed)
+        stage.servers(SERVERS)
+        stage.serve(100)
+        ask(stage, SERVERS[0], True)
+        stage.serve(100)
+        ask(stage, SERVERS[0], False)
+        assert SERVERS[0] in targets(stage), seed  # 1.6 s of fifty requests a second
+
+
+def test_after_the_ban_a_server_is_as_the_list_says() -> None:
+    stage = stage_of()
+    ask(stage, SERVERS[0], True)
+    stage.drain(SERVERS[0])
+    ask(stage, SERVERS[0], False)
+    stage.wait(20 * S)
+    assert targets(stage) == set(SERVERS[1:])
+    stage.drain(SERVERS[0], ServerState.READY)
+    assert targets(stage) == set(SERVERS)
+
+
+def test_only_a_name_that_was_never_listed_is_declined() -> None:
+    stage = stage_of()
+    for excluded in (True, False):
+        assert not ask(stage, "10.9.9.9:80", excluded)
+    stage.servers(SERVERS[1:])  # the first leaves and is forgotten
+    assert SERVERS[0] not in stage.balancer._servers
+    assert ask(stage, SERVERS[0], True)
+    stage.servers(SERVERS)
+    assert targets(stage) == set(SERVERS[1:])
+
+
+def test_a_server_that_leaves_during_its_ban_and_comes_again_is_still_left_out() -> None:
+    stage = stage_of()
+    ask(stage, SERVERS[0], True)
+    stage.servers(SERVERS[1:])
+    stage.servers(SERVERS)
+    assert targets(stage) == set(SERVERS[1:])
+
+
+def test_stored_exclusions_hold_for_servers_listed_later_and_replace_earlier_ones() -> None:
+    stage = Stage()
+    stage.play(ExclusionsHeard([SERVERS[0]]))
+    stage.servers(SERVERS)
+    assert targets(stage) == set(SERVERS[1:])
+    stage.play(ExclusionsHeard([SERVERS[1]]))
+    stage.wait(20 * S)
+    assert targets(stage) == {SERVERS[0], SERVERS[2]}
+
+
+def test_names_of_servers_that_left_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("topazbank.balancer.LEFT_KNOWN", 20)
+    stage = Stage(settings())
+    for deploy in range(10):
+        stage.servers([f"{deploy}-{each}" for each in SERVERS])
+    stage.servers([])
+    assert len(stage.balancer._left) == 20 and not stage.balancer._servers
+    assert ask(stage, f"9-{SERVERS[0]}", True)
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -24,6 +24,9 @@
     CloseIdle,
     Discovery,
     Event,
+    Exclude,
+    ExclusionAsked,
+    ExclusionsHeard,
     Fail,
     Follow,
     Group,
@@ -69,6 +72,7 @@
 COLD_SHARE = 0.25  # part of the pushing-over load at which a cold budget fills: its true size is not told
 COLD_BURST = 0.18  # part of that load that may come at once
 RATE_SPANS = 2.0  # rates are averaged over this many fall times
+LEFT_KNOWN = 4096  # names of servers that left are remembered: the operators may still call for them
 ASK_AT_ONCE = 8  # so many balancers may call discovery at once: it answers them in the time of one call
 ASK_SLOT = 0.01  # for each further one, calls spread out by this part of the time allowed without asking
 ASK_AGAIN = 0.05  # first wait before asking discovery again, of that time too
@@ -140,6 +144,7 @@
     nominal: float = 1.0
     pace: float = 1.0  # how long it takes, relative to the usual
     state: ServerState = ServerState.GONE
+    excluded: bool = False  # by the operators: it counts as draining, whatever its state
     started_at: int | None = None
     cold_since: int | None = None
     allowance: float = 0.0  # of a cold server: what may be sent to it now, in requests of mean cost
@@ -158,6 +163,9 @@
     turned_away: dict[Flow, tuple[int, int]] = field(default_factory=dict)  # until when, how often in a row
     trial: Attempt | None = None  # the single attempt that may bring it back
 
+    def is_ready(self) -> bool:
+        return self.state is ServerState.READY and not self.excluded
+
 
 @dataclass(slots=True, eq=False)
 class Attempt:
@@ -221,6 +229,8 @@
         self._servers: dict[str, Server] = {}  # those listed, and those gone of which something is out
         self._numbered: dict[int, Server] = {}  # by number
         self._numbers = itertools.count()
+        self._excluded: frozenset[str] = frozenset()  # what the operators have left out, listed or not
+        self._left: dict[str, None] = {}  # names that were listed once, the last to leave at the end
         self._ready: list[Server] = []
         self._near: list[Server] = []  # of these, the ones in the own zone
         self._requests: dict[int, Request] = {}
@@ -298,6 +308,10 @@
                 self._answer_started(event)
             case ProbeEnded():
                 self._probe_ended(event)
+            case ExclusionAsked():
+                self._exclusion_asked(event)
+            case ExclusionsHeard():
+                self._exclude(frozenset(event.servers))
         self._keep_beat()
         self._arm_timer()
         return self._actions
@@ -307,7 +321,7 @@
         return (
             f"load {self._load()} of window {self._window:.1f}, aim spent {self._spent:.2f}, "
             f"late {self._late:.2f}; of {len(self._ready)} ready {len(self._ejected)} ejected, "
-            f"{sum(self._is_cold(each) for each in self._ready)} cold"
+            f"{sum(self._is_cold(each) for each in self._ready)} cold, {len(self._excluded)} excluded"
         )
 
     def _notice_stall(self) -> None:
@@ -378,8 +392,12 @@
                     server.state = ServerState.GONE
         for line in event.servers:
             self._server_listed(line)
+        self._take_stock()
+
+    def _take_stock(self) -> None:
+        """Forget who left, and see anew who may be sent to."""
         self._forget_gone()
-        self._ready = [each for each in self._servers.values() if each.state is ServerState.READY]
+        self._ready = [each for each in self._servers.values() if each.is_ready()]
         self._ready.sort(key=lambda each: each.place)
         self._near = [each for each in self._ready if each.zone == self._settings.zone]
         mean_size = sum(each.nominal for each in self._ready) / max(len(self._ready), 1)
@@ -391,8 +409,11 @@
         """Forget servers that left: each deploy brings new names.  One that comes back is a new server."""
         gone = [each for each in self._servers.values() if each.state is ServerState.GONE]
         for each in gone:
-            if not each.in_flight and each.probed_at is None:
+            if not each.in_flight and each.probed_at is None and not each.excluded:
                 del self._servers[each.name], self._numbered[each.number]
+                self._left[each.name] = None
+                if len(self._left) > LEFT_KNOWN:
+                    del self._left[next(iter(self._left))]
                 if each in self._ejected:
                     self._ejected.remove(each)
 
@@ -401,6 +422,7 @@
         if server is None:
             server = Server(line.server, next(self._numbers), self._random.random())
             self._servers[line.server] = self._numbered[server.number] = server
+            server.excluded = line.server in self._excluded
         server.zone = line.zone
         server.cell = line.cell
         if server.state is ServerState.GONE or line.nominal != server.nominal:
@@ -413,6 +435,26 @@
             if server.ejected_until is not None and line.state is ServerState.READY:
                 self._readmit(server)  # a new process: what the old one did is history
 
+    # -- The operators' exclusions, over what the list says -------------------------------------------
+
+    def _exclusion_asked(self, event: ExclusionAsked) -> None:
+        """Leave a server out or use it again; a name that was never listed is passed over in silence."""
+        if event.server in self._servers or event.server in self._left or event.server in self._excluded:
+            asked = frozenset((event.server,))
+            self._exclude(self._excluded | asked if event.excluded else self._excluded - asked)
+
+    def _exclude(self, names: frozenset[str]) -> None:
+        """Leave out just these servers.  One that is used again was restarted meanwhile: it is cold."""
+        back, self._excluded = self._excluded - names, names
+        for server in self._servers.values():
+            server.excluded = server.name in names
+            if server.name in back:
+                self._turned_cold(server, self._now)
+                if server.ejected_until is not None:
+                    self._readmit(server)
+        self._take_stock()
+        self._actions.append(Exclude(names))
+
     # -- Requests -------------------------------------------------------------------------------------
 
     def _request_arrived(self, event: RequestArrived) -> None:
@@ -851,7 +893,7 @@
             return False  # rule 2
         if not self._may_run_again(request) or not self._in_group(request, server):
             return False  # rule 2
-        if server.state is not ServerState.READY:
+        if not server.is_ready():
             return False  # rule 3: at once on hearing, without use of the grace
         if not self._cold_room(server, request.cost):
             return False  # rule 4
@@ -1097,7 +1139,7 @@
             return None
         for server in self._ejected:
             waited = server.ejected_until is not None and self._now >= server.ejected_until
-            if waited and server.state is ServerState.READY and server.trial is None:
+            if waited and server.is_ready() and server.trial is None:
                 if self._cold_room(server, request.cost):
                     return server
         return None
--- a/topazbank/interface.py
+++ b/topazbank/interface.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import Enum, unique
 from typing import Any, TypeVar
@@ -452,6 +452,21 @@
     payload: bytes
 
 
+@dataclass(slots=True)
+class ExclusionAsked:
+    """The operators want a server left out until they say otherwise, or used again."""
+
+    server: str
+    excluded: bool
+
+
+@dataclass(slots=True)
+class ExclusionsHeard:
+    """Which servers the operators have left out, as stored: just these from now on."""
+
+    servers: Collection[str]
+
+
 Event = (
     ServersListed
     | RequestArrived
@@ -461,6 +476,8 @@
     | TimerFired
     | ProbeEnded
     | MessageReceived
+    | ExclusionAsked
+    | ExclusionsHeard
 )
 
 # ---------------------------------------------------------------------------------------------------
@@ -541,6 +558,13 @@
     """Ask once for the complete server list."""
 
 
+@dataclass(slots=True)
+class Exclude:
+    """Servers that count as draining from now on whatever the list says; no others do."""
+
+    servers: frozenset[str]
+
+
 @dataclass(slots=True)
 class Log:
     """A line for the operators."""
@@ -548,4 +572,6 @@
     text: str
 
 
-Action = Send | Refuse | Fail | Cancel | SetTimer | Probe | CloseIdle | Tell | Follow | FetchList | Log
+Action = (
+    Send | Refuse | Fail | Cancel | SetTimer | Probe | CloseIdle | Tell | Follow | FetchList | Exclude | Log
+)
