Add the operators' door, with bans, a reversible drain and upgrades

Door (net/admin.py): h11 over plain non-blocking sockets; a call that has come whole is answered in the step of the loop that finds it. Not taken: asyncio streams, which need four or five steps a call; under load each may last 0.2 s. At most 16 callers, the longest unfinished dropped, 2 s for a call. At most 64 clients are accepted in a step, so that the door has its turn.

Orders (net/orders.py): one empty file for each ban and one for the drain, in TMPDIR. Making and removing a file is atomic, so nothing is read half written. Not taken: one JSON file; two processes would overwrite each other without a lock. Each process reads them before its first request and every 0.1 s.

Drain: one state of the frontend, shared with SIGTERM. Health says no at once, answers end their connection, those at rest are kept 0.4 s and then closed.

Upgrade: with RELAY_ACCEPT_FD the inherited socket is listened on, set to not block before each round since its flags are shared, closed and never shut down. The new process takes clients once discovery has answered, or after 2 s with the list it was given; the old one leaves the queue on SIGTERM at once.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -8,6 +8,8 @@
 import socket
 import struct
 from collections.abc import AsyncIterator, Callable, Coroutine
+from dataclasses import replace
+from pathlib import Path
 from typing import Any
 
 from helpers import settings
@@ -182,7 +184,10 @@
 
 @contextlib.asynccontextmanager
 async def world(
-    *scripts: Callable[[str, Head, bytes], bytes | None], sockets: int = 256, **changes: Any
+    *scripts: Callable[[str, Head, bytes], bytes | None],
+    sockets: int = 256,
+    orders: Path | None = None,
+    **changes: Any,
 ) -> AsyncIterator[World]:
     """A world with one server for each script."""
     servers = [FakeServer(f"s-{number}", script) for number, script in enumerate(scripts)]
@@ -192,9 +197,10 @@
     await discovery.start()
     given = settings(**{"limits": LIMITS, **changes})
     known = parse_list({"index": 41, "snapshot": True, "endpoints": [each.entry() for each in servers]})
-    made = World(
-        Sidecar(Config(("127.0.0.1", 0), discovery.address, 7, sockets, given, known)), servers, discovery
-    )
+    config = Config(("127.0.0.1", 0), discovery.address, 7, sockets, given, known)
+    if orders is not None:
+        config = replace(config, orders=orders, mgmt=("127.0.0.1", 0))
+    made = World(Sidecar(config), servers, discovery)
     running = asyncio.create_task(made.sidecar.run(made.stop))
     await until(lambda: made.sidecar._balancer._begun)
     try:
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -363,6 +363,9 @@
         def fileno(self) -> int:
             return self.real.fileno()
 
+        def setblocking(self, flag: bool) -> None:
+            self.real.setblocking(flag)
+
     async def scene() -> None:
         hooks = Hooks(lambda call: call.answer(200, [], b"taken"), lambda call: None, lambda: True)
         frontend = Frontend(("127.0.0.1", 0), 5, hooks, settings())
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -8,6 +8,7 @@
 import logging
 import os
 import signal
+import socket
 import sys
 from collections.abc import AsyncIterator
 from pathlib import Path
@@ -50,7 +51,9 @@
     return given | {"known": known, "settings": SETTINGS} | changes
 
 
-async def launch(path: Path, given: object) -> asyncio.subprocess.Process:
+async def launch(
+    path: Path, given: object, accept_fd: int | None = None, **environment: str
+) -> asyncio.subprocess.Process:
     path.write_text(given if isinstance(given, str) else json.dumps(given), encoding="utf-8")
     environ = {name: value for name, value in os.environ.items() if not name.startswith("RELAY_")}
     return await asyncio.create_subprocess_exec(
@@ -58,7 +61,8 @@
         "-m",
         "topazbank",
         cwd=ROOT,
-        env=environ | {"RELAY_CONFIG": str(path)},
+        env=environ | {"RELAY_CONFIG": str(path)} | environment,
+        pass_fds=() if accept_fd is None else (accept_fd,),
         stderr=asyncio.subprocess.PIPE,
     )
 
@@ -76,6 +80,8 @@
         config(settings=None),
         config(settings={"lanes": []}),
         config(limits={"sockets": "many"}),
+        config(mgmt="nowhere"),
+        config(mgmt=7),
     ],
 )
 def test_a_bad_configuration_ends_the_start_with_one_line(given: object, tmp_path: Path) -> None:
@@ -94,6 +100,22 @@
     assert [flood.filter(each) for each in lines] == [True, True, True, False, False, True]
 
 
+def free_address() -> Address:
+    """Port 0 is no address to be told, so a free one is picked and given back just before."""
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        host, port = free.getsockname()
+        return host, port
+
+
+async def says_yes(address: Address, data: bytes) -> None:
+    async with asyncio.timeout(PATIENCE_S):
+        while True:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                if (await ask(address, data))[0] == 200:
+                    return
+            await asyncio.sleep(0.02)
+
+
 @contextlib.asynccontextmanager
 async def program(tmp_path: Path, server: FakeServer) -> AsyncIterator[tuple[Any, Address]]:
     """The program, ready, with one server behind it."""
@@ -102,20 +124,12 @@
     await server.start()
     known = {"index": 1, "snapshot": True, "endpoints": [server.entry()]}
     where = "{}:{}".format(*discovery.address)
-    # Port 0 is no address to be told, so a free one is picked and given back just before.
-    free = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
-    listen: Address = free.sockets[0].getsockname()[:2]
-    free.close()
+    listen = free_address()
     process = await launch(
         tmp_path / "config.json", config(listen="{}:{}".format(*listen), discovery=where, known=known)
     )
     try:
-        async with asyncio.timeout(PATIENCE_S):
-            while True:
-                with contextlib.suppress(OSError):
-                    if (await ask(listen, request(path="/health/ready")))[0] == 200:
-                        break
-                await asyncio.sleep(0.02)
+        await says_yes(listen, request(path="/health/ready"))
         yield process, listen
     finally:
         with contextlib.suppress(ProcessLookupError):
@@ -227,3 +241,104 @@
         moved.stop()
 
     play(scene())
+
+
+READY = b"GET /api/ready HTTP/1.1\r\nHost: ops\r\n\r\n"
+
+
+def test_an_upgrade_hands_the_clients_over_and_keeps_bans_and_held_requests(tmp_path: Path) -> None:
+    async def scene() -> None:
+        server, banned = (
+            FakeServer(name, lambda first, *_: None if "held" in first else answer(200, b"served"))
+            for name in ("s-0", "s-1")
+        )
+        discovery = FakeDiscovery()
+        for each in (server, banned, discovery):
+            await each.start()
+        known = {"index": 1, "snapshot": True, "endpoints": [server.entry(), banned.entry()]}
+        listening = socket.create_server(("127.0.0.1", 0))
+        listen: Address = listening.getsockname()[:2]
+        told = config(
+            listen="{}:{}".format(*listen), discovery="{}:{}".format(*discovery.address), known=known
+        )
+        doors = [free_address(), free_address()]
+        processes = []
+
+        async def start(door: Address) -> Any:
+            discovery.say(2, [])
+            fd = listening.fileno()
+            variables = {"RELAY_MGMT": "{}:{}".format(*door), "TMPDIR": str(tmp_path)}
+            process = await launch(tmp_path / "config.json", told, fd, RELAY_ACCEPT_FD=str(fd), **variables)
+            processes.append(process)
+            await says_yes(door, READY)
+            return process
+
+        try:
+            old = await start(doors[0])
+            kept, kept_writer = await asyncio.open_connection(*listen)
+            kept_writer.write(request())
+            assert (await read_answer(kept))[0] == 200
+            held, held_writer = await asyncio.open_connection(*listen)
+            held_writer.write(request("pay", path="/api/held", body=b"x", budget="3"))
+            await until(lambda: any("held" in first for first, *_ in server.requests + banned.requests))
+            exclude = b"PUT /api/exclude/s-1 HTTP/1.1\r\nHost: ops\r\n\r\n"
+            assert (await ask(doors[0], exclude))[0] == 200
+
+            new = await start(doors[1])
+            old.send_signal(signal.SIGTERM)
+            assert await is_closed(kept)
+            for writer in server.writers + banned.writers:
+                if not writer.is_closing():
+                    writer.write(answer(200, b"held"))
+            status, headers, body = await read_answer(held)
+            assert (status, headers["connection"], body) == (200, "close", b"held")
+            assert await asyncio.wait_for(old.wait(), PATIENCE_S) == 0
+
+            had = len(banned.requests)
+            for _ in range(20):  # the shared socket still listens, and the ban is known to the new process
+                assert (await ask(listen, request()))[2] == b"served"
+            assert len(banned.requests) == had and new.returncode is None
+            kept_writer.close()
+            held_writer.close()
+        finally:
+            for process in processes:
+                with contextlib.suppress(ProcessLookupError):
+                    process.kill()
+                await process.communicate()
+            for each in (server, banned, discovery):
+                each.stop()
+            listening.close()
+
+    play(scene())
+
+
+@pytest.mark.parametrize("kind", ["missing", "no number", "not listening", "no socket"])
+def test_a_descriptor_that_is_no_listening_socket_ends_the_start_with_one_line(
+    kind: str, tmp_path: Path
+) -> None:
+    async def scene() -> None:
+        quiet = socket.socket()
+        file = os.open(tmp_path, os.O_RDONLY)
+        fd = {"not listening": quiet.fileno(), "no socket": file}.get(kind)
+        told = "four" if kind == "no number" else str(fd if fd is not None else 1_000)
+        process = await launch(tmp_path / "config.json", config(), fd, RELAY_ACCEPT_FD=told)
+        _, err = await asyncio.wait_for(process.communicate(), PATIENCE_S)
+        assert process.returncode not in (0, None)
+        assert len(err.decode().strip().splitlines()) == 1 and (b"descriptor" in err)
+        quiet.close()
+        os.close(file)
+
+    play(scene())
+
+
+def test_a_door_that_cannot_be_bound_ends_the_start_with_one_line(tmp_path: Path) -> None:
+    async def scene() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as taken:
+            door = "{}:{}".format(*taken.getsockname())
+            given = config(listen="{}:{}".format(*free_address()), mgmt=door)
+            process = await launch(tmp_path / "config.json", given)
+            _, err = await asyncio.wait_for(process.communicate(), PATIENCE_S)
+        assert process.returncode not in (0, None)
+        assert len(err.decode().strip().splitlines()) == 1 and err.startswith(b"can't serve: ")
+
+    play(scene())
--- a/topazbank/__main__.py
+++ b/topazbank/__main__.py
@@ -13,7 +13,9 @@
 import os
 import signal
 import sys
+import tempfile
 from collections.abc import Mapping
+from pathlib import Path
 from typing import Any
 
 from topazbank.net import frontend
@@ -39,6 +41,7 @@
     if not isinstance(given, dict):
         raise ValueError("an object is needed")
     known = given.get("known")
+    mgmt = environ.get("RELAY_MGMT") or given.get("mgmt")
     return Config(
         listen=_address(environ.get("RELAY_LISTEN") or given.get("listen"), "listen"),
         discovery=_address(environ.get("RELAY_DISCOVERY") or given.get("discovery"), "discovery"),
@@ -46,6 +49,9 @@
         sockets=_sockets(given.get("limits")),
         settings=settings_from_wire(given.get("settings")),
         known=Told(0, True, []) if known is None else parse_list(known),
+        orders=Path(environ.get("TMPDIR") or tempfile.gettempdir()),
+        mgmt=_address(mgmt, "mgmt") if mgmt is not None else None,
+        accept_fd=_descriptor(environ.get("RELAY_ACCEPT_FD")),
     )
 
 
@@ -55,6 +61,14 @@
     return parse_address(value)
 
 
+def _descriptor(value: str | None) -> int | None:
+    if not value:
+        return None
+    if not value.isdecimal():
+        raise ValueError(f"RELAY_ACCEPT_FD: the number of a descriptor is needed, not {value!r:.60}")
+    return int(value)
+
+
 def _seed(value: Any) -> int:
     if isinstance(value, str):
         return int(value, 16)
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -22,6 +22,8 @@
 _API_PATH = b"/api"
 _BACKLOG = 512
 _LOOK_AGAIN_S = 0.05  # after which what waited unread in a stall has been read
+_ACCEPTED_AT_ONCE = 64  # connections taken in one step of the event loop
+_LET_GO_EVERY_S = 0.02  # how often a drain looks for connections that came to rest
 _ACCEPT_PAUSE_S = 0.05  # after a failed accept, descriptors lacking: no spinning
 _WHOLE_S = (
     2.0  # from its connection or its first byte, what a request may take to come: after 3 s it is owed an end
@@ -346,18 +348,40 @@
             self._frontend.hooks.gone(call)
 
 
+def _inherited(fd: int) -> socket.socket:
+    """The listening socket that the platform holds; OSError on anything else."""
+    try:
+        sock = socket.socket(fileno=fd)
+    except OSError as fault:
+        raise OSError(f"descriptor {fd}, where the clients' listening socket should be: {fault}") from None
+    try:
+        listens = bool(sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN))
+    except OSError:
+        listens = False
+    if not listens:
+        sock.detach()  # it is not ours to close
+        raise OSError(f"descriptor {fd} is no listening socket")
+    return sock
+
+
 class Frontend:
     """Listens for the application, within a bound on its connections."""
 
-    def __init__(self, address: Address, most: int, hooks: Hooks, settings: Settings) -> None:
+    def __init__(
+        self, address: Address, most: int, hooks: Hooks, settings: Settings, inherited: int | None = None
+    ) -> None:
         self.hooks = hooks
         self.settings = settings
         self.draining = False
+        self._letting_go: asyncio.TimerHandle | None = None
         self.connections: dict[ClientConnection, None] = {}  # the longest at rest first
         self._most = most
         self._accepting = False
         self._starting: set[asyncio.Task[None]] = set()
-        self._sock = socket.create_server(address, backlog=_BACKLOG)
+        if inherited is None:
+            self._sock = socket.create_server(address, backlog=_BACKLOG)
+        else:
+            self._sock = _inherited(inherited)
         self._sock.setblocking(False)
         self.address: Address = self._sock.getsockname()[:2]
 
@@ -374,27 +398,32 @@
         self._accepting = False
         asyncio.get_running_loop().remove_reader(self._sock)
 
-    def _accept(self) -> None:
-        """Take the connections that wait."""
-        for _ in range(_BACKLOG):
+    def _accept(self) -> bool:
+        """Take connections that wait, a bounded number in a step: the operators' door must have its turn.
+
+        Says whether more may be waiting.
+        """
+        self._sock.setblocking(False)  # an inherited socket shares its flags with whoever else holds it
+        for _ in range(_ACCEPTED_AT_ONCE):
             if len(self.connections) + len(self._starting) >= self._most and not self._make_room():
                 self._pause()
                 asyncio.get_running_loop().call_later(_ACCEPT_PAUSE_S, self._accept_again)
-                return
+                return False
             try:
                 sock, _ = self._sock.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
+                return False
             except OSError as fault:
                 log.error("accept: %s", fault)
                 self._pause()
                 asyncio.get_running_loop().call_later(_ACCEPT_PAUSE_S, self._accept_again)
-                return
+                return False
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             task = asyncio.get_running_loop().create_task(self._begin(sock))
             self._starting.add(task)
             task.add_done_callback(self._starting.discard)
+        return True
 
     async def _begin(self, sock: socket.socket) -> None:
         with contextlib.suppress(OSError):
@@ -418,10 +447,27 @@
     def lost(self, connection: ClientConnection) -> None:
         self.connections.pop(connection, None)
 
-    def drain(self) -> None:
-        """Close what is at rest while new connections are still taken: a request that crosses comes again."""
-        self.draining = True
-        self.close_idle(used=True)
+    def drain(self, kept_s: float = 0.0) -> None:
+        """Send clients away until `undrain`: each answer ends its connection, and those at rest are closed.
+
+        New connections are still taken: a request that crosses the closing of its connection comes again.
+        Those at rest are kept for `kept_s`, so that most end by an answer and are crossed by nothing.
+        """
+        if not self.draining:
+            self.draining = True
+            self._let_go(asyncio.get_running_loop().time() + kept_s)
+
+    def _let_go(self, kept_until: float) -> None:
+        loop = asyncio.get_running_loop()
+        if loop.time() >= kept_until:
+            self.close_idle(used=True)
+        self._letting_go = loop.call_later(_LET_GO_EVERY_S, self._let_go, kept_until)
+
+    def undrain(self) -> None:
+        """Be there for clients again."""
+        self.draining = False
+        if self._letting_go is not None:
+            self._letting_go.cancel()
 
     def close_idle(self, used: bool) -> None:
         """Close what is at rest; with `used`, not what was just opened for a request still on its way."""
@@ -429,10 +475,14 @@
             if connection.is_idle() and (connection.used or not used):
                 connection.close()
 
-    def stop(self) -> None:
-        """Take what waits, then listen no more."""
+    def stop(self, take: bool = True) -> None:
+        """Listen no more; with `take`, not before all that waits is taken.
+
+        An inherited socket is closed here and never shut down: it goes on at others that hold it.
+        """
         if self._sock.fileno() >= 0:
-            self._accept()
+            while take and self._accept():
+                pass
             if self._accepting:
                 self._pause()
             self._sock.close()
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -7,13 +7,15 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import logging
 import time
 from collections import Counter, deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 from functools import partial
+from pathlib import Path
 from typing import Any
 
 import h11
@@ -25,6 +27,9 @@
     Cancel,
     CloseIdle,
     Event,
+    Exclude,
+    ExclusionAsked,
+    ExclusionsHeard,
     Fail,
     FetchList,
     Follow,
@@ -45,8 +50,10 @@
 )
 from topazbank.interface import Discovery as DiscoveryMode
 from topazbank.net import upstream
+from topazbank.net.admin import Declined, Door
 from topazbank.net.discovery import Discovery, Told
 from topazbank.net.frontend import Call, Frontend, Hooks
+from topazbank.net.orders import Orders
 from topazbank.net.upstream import Address, Exchange, Headers, Response
 
 log = logging.getLogger(__name__)
@@ -55,6 +62,9 @@
 _LINGER_S = 0.65  # and how much longer than the longest deadline all may last
 _DEADLINE_MOST_S = 3.0  # the platform waits for no longer deadline than this
 _DRAIN_STEP_S = 0.02  # how often a drain looks at what is left
+_KEPT_S = 0.4  # where others take the clients, how long connections at rest may still end by an answer
+_LISTED_S = 2.0  # beside a process that serves, how long a start waits for the list; it is ready within 6 s
+_ORDERS_EVERY_S = 0.1  # how often the orders are read that another process may have taken
 _LAG_EVERY_S = 0.25  # how often the event loop's lag is looked at
 _LAG_TOLD_S = 0.05  # and from when on it is logged
 _STATE_EVERY_S = 1.0  # how often the log is told how things stand
@@ -117,6 +127,9 @@
     sockets: int
     settings: Settings
     known: Told
+    orders: Path = Path()  # a folder that outlasts this process
+    mgmt: Address | None = None  # where the operators call; None: nowhere
+    accept_fd: int | None = None  # the listening socket, where the platform holds it
 
 
 class Sidecar:
@@ -141,7 +154,17 @@
         self._known = config.known
         self._discovery = Discovery(config.discovery, config.known.version, self._told)
         hooks = Hooks(self._taken, self._gone, self._is_ready)
-        self.frontend = Frontend(config.listen, half, hooks, settings)
+        self.frontend = Frontend(config.listen, half, hooks, settings, config.accept_fd)
+        self._takes_over = config.accept_fd is not None
+        self._listed = asyncio.Event()  # discovery has answered
+        self._takes_clients = False
+        self._orders = Orders(config.orders)
+        self._orders_fault = False
+        self._excluded: frozenset[str] = frozenset()  # servers left out, as the balancer last said
+        self._knows_server = False  # whether it took the call that it was last asked about
+        self._evacuated = False
+        self._stopping = False
+        self.door = Door(config.mgmt, self._operations()) if config.mgmt is not None else None
         self._carry: dict[type[Any], Callable[[Any], None]] = {
             Send: self._send,
             Refuse: self._refuse,
@@ -152,6 +175,7 @@
             CloseIdle: lambda action: self._upstream.close_idle(action.server),
             Follow: lambda action: self._discovery.follow(action.wanted),
             FetchList: lambda _: self._discovery.fetch(),
+            Exclude: self._exclude,
             Log: lambda action: log.info("%s", action.text),
         }
 
@@ -159,16 +183,33 @@
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until `stop`, then answer all that is held and return."""
+        if self.door is not None:
+            self._follow_orders()  # before the first request: a ban outlasts the process that took it
+            self.door.start()
         self._list(ListKind.REMEMBERED, self._known)
         if self._settings.discovery is DiscoveryMode.PUSHED:
             self._discovery.follow(True)
-        self.frontend.start()
         lag = asyncio.get_running_loop().create_task(self._watch_lag())
+        if self._takes_over:
+            await self._first_of(stop, self._listed, _LISTED_S)
+        if not stop.is_set():
+            self.frontend.start()
+            self._takes_clients = True
         await stop.wait()
+        self._takes_clients, self._stopping = False, True
         await self._drain()
         lag.cancel()
         self._discovery.stop()
         await self._upstream.close()
+        if self.door is not None:
+            self.door.stop()
+
+    @staticmethod
+    async def _first_of(one: asyncio.Event, other: asyncio.Event, limit_s: float) -> None:
+        tasks = [asyncio.ensure_future(each.wait()) for each in (one, other)]
+        await asyncio.wait(tasks, timeout=limit_s, return_when=asyncio.FIRST_COMPLETED)
+        for task in tasks:
+            task.cancel()
 
     def reload(self, config: Config) -> None:
         """Take over what may change while this runs: where discovery is."""
@@ -179,16 +220,19 @@
         loop = asyncio.get_running_loop()
         began = loop.time()
         log.info("draining: %d requests held", len(self._by_call))
-        self.frontend.drain()
+        if self._takes_over:  # the next process has the queue: not one more is taken out of it here
+            self.frontend.stop(take=False)
+            self.frontend.drain(_KEPT_S)
+        else:
+            self.frontend.drain()
+            await asyncio.sleep(_ACCEPT_S)
+            self.frontend.stop()
         longest = max(each.deadline_us for each in self._settings.classes) / 1e6
         last = began + min(longest, _DEADLINE_MOST_S) + _LINGER_S
-        while loop.time() < began + _ACCEPT_S:
-            await asyncio.sleep(_DRAIN_STEP_S)
-            self.frontend.close_idle(used=True)
-        self.frontend.stop()
         while not self.frontend.is_empty() and loop.time() < last:
             await asyncio.sleep(_DRAIN_STEP_S)
-            self.frontend.close_idle(used=loop.time() < began + _LINGER_S)
+            if loop.time() >= began + _LINGER_S:
+                self.frontend.close_idle(used=False)  # those just opened too: their request did not come
         for live in list(self._by_call.values()):
             self._answer(live, 500, [], b"")
         log.info("drained")
@@ -222,6 +266,69 @@
     def _is_ready(self) -> bool:
         return not self.frontend.draining
 
+    # -- The operators' calls -------------------------------------------------------------------------
+
+    def _operations(self) -> dict[str, tuple[str, Callable[[str], None]]]:
+        return {
+            "ready": ("GET", self._tell_ready),
+            "exclude/": ("PUT", partial(self._ask_exclusion, excluded=True)),
+            "include/": ("PUT", partial(self._ask_exclusion, excluded=False)),
+            "evacuate": ("PUT", lambda _: self._order(self._orders.evacuate)),
+            "rejoin": ("PUT", lambda _: self._order(self._orders.rejoin)),
+        }
+
+    def _tell_ready(self, _: str) -> None:
+        if not self._takes_clients:
+            raise Declined(503, "this process takes no clients")
+
+    def _ask_exclusion(self, server: str, excluded: bool) -> None:
+        """Yes once the order is stored and in force; where it can't be stored, nothing has changed."""
+        with _storing():
+            (self._orders.exclude if excluded else self._orders.include)(server)
+        self._knows_server = False
+        self.handle(ExclusionAsked(server, excluded))
+        if not self._knows_server:
+            with _storing():
+                self._orders.include(server)
+            raise Declined(404, "no such server was ever listed")
+
+    def _order(self, store: Callable[[], None]) -> None:
+        with _storing():
+            store()
+        self._read_orders()
+
+    def _follow_orders(self) -> None:
+        """Follow what is stored; of two processes in an upgrade either may have been told."""
+        self._read_orders()
+        asyncio.get_running_loop().call_later(_ORDERS_EVERY_S, self._follow_orders)
+
+    def _read_orders(self) -> None:
+        try:
+            excluded, evacuated = self._orders.read()
+        except OSError as fault:
+            if not self._orders_fault:
+                log.error("the operators' orders can't be read, what is in force stays: %s", fault)
+            self._orders_fault = True
+            return
+        self._orders_fault = False
+        if excluded != self._excluded:
+            self.handle(ExclusionsHeard(excluded))
+        if evacuated == self._evacuated or self._stopping:
+            return
+        self._evacuated = evacuated
+        log.info("evacuated" if evacuated else "back at work")
+        if evacuated:
+            self.frontend.drain(_KEPT_S)
+        else:
+            self.frontend.undrain()
+
+    def _exclude(self, action: Exclude) -> None:
+        self._knows_server = True
+        if action.servers != self._excluded:
+            self._excluded = action.servers
+            self._upstream.exclude(action.servers)
+            log.info("excluded now: %s", ", ".join(sorted(action.servers))[:500] or "none")
+
     # -- Events in, actions out -----------------------------------------------------------------------
 
     def handle(self, event: Event) -> None:
@@ -410,6 +517,7 @@
 
     def _told(self, told: Told | None) -> None:
         if told is not None:
+            self._listed.set()
             self._list(ListKind.COMPLETE if told.complete else ListKind.CHANGES, told)
             return
         self.handle(ServersListed(ListKind.FAILED))
@@ -427,6 +535,14 @@
         self._upstream.forget_gone()
 
 
+@contextlib.contextmanager
+def _storing() -> Iterator[None]:
+    try:
+        yield
+    except OSError as fault:
+        raise Declined(500, f"the order could not be stored: {fault}") from None
+
+
 def _head(call: Call, left_s: float) -> h11.Request:
     """The head of an attempt: the application's, with the time that is left for it."""
     headers = [*call.headers, (b"X-Budget", b"%.6f" % left_s)]
--- a/topazbank/net/upstream.py
+++ b/topazbank/net/upstream.py
@@ -287,6 +287,13 @@
         self._most = most
         self.open_count = 0  # connections, and dials under way
         self._endpoints: dict[str, Endpoint] = {}
+        self._excluded: frozenset[str] = frozenset()
+
+    def exclude(self, names: frozenset[str]) -> None:
+        """Treat these servers, and no others, as draining ones whatever the list says."""
+        self._excluded = names
+        for name in names & self._endpoints.keys():
+            self._withdraw(self._endpoints[name])
 
     def update(self, name: str, address: Address | None, started_at: int | None, state: ServerState) -> None:
         """Note what the list says of a server; a new process or place makes its old connections useless."""
@@ -445,7 +452,8 @@
         endpoint = exchange.endpoint
         if not connection.reusable:
             return
-        if exchange.generation != endpoint.generation or endpoint.state is not ServerState.READY:
+        stays = endpoint.state is ServerState.READY and endpoint.name not in self._excluded
+        if exchange.generation != endpoint.generation or not stays:
             connection.abort()
             return
         timer = asyncio.get_running_loop().call_later(self._idle_s, self._idle_over, endpoint, connection)
