--- a/topazbank/__main__.py
+++ b/topazbank/__main__.py
@@ -27,6 +27,7 @@
 log = logging.getLogger(__name__)
 
 _SOCKETS = 1024  # unless the configuration tells
+_MEMORY_MB = 64  # likewise
 _LOG_LINES = 50  # a second at most
 _REJECTED_LINES = 10  # of these, for what is not a proper request
 
@@ -46,7 +47,8 @@
         listen=_address(environ.get("RELAY_LISTEN") or given.get("listen"), "listen"),
         discovery=_address(environ.get("RELAY_DISCOVERY") or given.get("discovery"), "discovery"),
         seed=_seed(given.get("seed", "0")),
-        sockets=_sockets(given.get("limits")),
+        sockets=_limit(given.get("limits"), "sockets", _SOCKETS),
+        memory_mb=_limit(given.get("limits"), "memory_mb", _MEMORY_MB),
         settings=settings_from_wire(given.get("settings")),
         known=Told(0, True, []) if known is None else parse_list(known),
         orders=Path(environ.get("TMPDIR") or tempfile.gettempdir()),
@@ -75,11 +77,11 @@
     raise ValueError("seed: hex digits are needed")
 
 
-def _sockets(limits: Any) -> int:
-    value = limits.get("sockets", _SOCKETS) if isinstance(limits, dict) else _SOCKETS
-    if type(value) is not int or value < 1:
-        raise ValueError("limits.sockets: a whole number is needed")
-    return value
+def _limit(limits: Any, name: str, default: int) -> int:
+    value = limits.get(name, default) if isinstance(limits, dict) else default
+    if type(value) not in (int, float) or not 1 <= value <= 1e9:
+        raise ValueError(f"limits.{name}: a whole number is needed")
+    return int(value)
 
 
 class Flood(logging.Filter):
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -20,6 +20,7 @@
     Action,
     AnswerStarted,
     AttemptEnded,
+    BodyEnded,
     Cancel,
     CloseIdle,
     Discovery,
@@ -72,6 +73,7 @@
 COLD_SHARE = 0.25  # part of the pushing-over load at which a cold budget fills: its true size is not told
 COLD_BURST = 0.18  # part of that load that may come at once
 RATE_SPANS = 2.0  # rates are averaged over this many fall times
+OPEN_UNTIL = 2**62  # no time is up while a body is still coming: how slowly it may come is net/'s to bound
 LEFT_KNOWN = 4096  # names of servers that left are remembered: the operators may still call for them
 ASK_AT_ONCE = 8  # so many balancers may call discovery at once: it answers them in the time of one call
 ASK_SLOT = 0.01  # for each further one, calls spread out by this part of the time allowed without asking
@@ -189,7 +191,7 @@
 
     ident: int
     kind: ServiceClass
-    answer_by: int
+    answer_by: int  # OPEN_UNTIL while its body is still coming
     cost: float  # relative to the mean of its class
     flow: Flow
     spread: bool  # whether it is drawn over all zones
@@ -201,6 +203,7 @@
     asked: list[Server] = field(default_factory=list)  # the tied candidates that are probed for it
     asked_until: int = 0
     standing: float = 0.5  # the part of the traffic that is worth less
+    spent: bool = False  # its body is no longer held whole: it can't be sent again
 
     def __post_init__(self) -> None:
         self.size = max(-3, min(math.frexp(self.cost)[1], 4))
@@ -306,6 +309,8 @@
                 self._request_gone(event)
             case AnswerStarted():
                 self._answer_started(event)
+            case BodyEnded():
+                self._body_ended(event)
             case ProbeEnded():
                 self._probe_ended(event)
             case ExclusionAsked():
@@ -423,8 +428,7 @@
             server = Server(line.server, next(self._numbers), self._random.random())
             self._servers[line.server] = self._numbered[server.number] = server
             server.excluded = line.server in self._excluded
-        server.zone = line.zone
-        server.cell = line.cell
+        server.zone, server.cell = line.zone, line.cell
         if server.state is ServerState.GONE or line.nominal != server.nominal:
             server.pace = 0.0  # to be set by its nominal size
         server.nominal = max(line.nominal, 0.0)
@@ -465,12 +469,12 @@
             kind = ServiceClass(event.service_class, allowed, allowed)
         self._arrivals.add(self._now, 1.0)
         self._extra = min(self._extra + EXTRA_PER_REQUEST, EXTRA_PER_REQUEST * EXTRA_SAVED)
-        answer_by = self._now + event.remaining_us - TICKS_EARLY * self._settings.tick_us
         cost = self._relative_cost(kind, event.cost_us)
         flow = (kind.name, event.tenant)
-        request = Request(event.request, kind, answer_by, cost, flow, not self._near_first)
+        request = Request(event.request, kind, OPEN_UNTIL, cost, flow, not self._near_first)
         self._requests[event.request] = request
-        self._schedule(answer_by, event.request, _WHOLE)
+        if not event.body_open:
+            self._start_clock(request, event.remaining_us)
         if self._overloaded_for(request, event.tenant) or self._is_stale(kind, event.remaining_us):
             self._finish(request)
         else:
@@ -508,8 +512,38 @@
 
     def _answer_started(self, event: AnswerStarted) -> None:
         request = self._requests.get(event.request)
-        if request is not None and event.attempt < len(request.attempts):
-            request.attempts[event.attempt].started = True
+        if request is None or event.attempt >= len(request.attempts):
+            return
+        attempt = request.attempts[event.attempt]
+        if attempt.pending and not attempt.started:
+            attempt.started = True
+            self._release(attempt)  # its server has done the work; what is left is to pass it on
+            self._call_off(request)
+
+    def _release(self, attempt: Attempt) -> None:
+        attempt.server.in_flight -= 1
+        self._pending -= 1
+        if attempt.server.ejected_until is not None:
+            self._stuck -= 1
+
+    def _start_clock(self, request: Request, remaining_us: int) -> None:
+        request.answer_by = self._now + remaining_us - TICKS_EARLY * self._settings.tick_us
+        self._schedule(request.answer_by, request.ident, _WHOLE)
+
+    def _body_ended(self, event: BodyEnded) -> None:
+        """A client's time runs from its request's last byte, and so does a server's."""
+        request = self._requests.get(event.request)
+        if request is None or request.answered:
+            return
+        self._start_clock(request, event.remaining_us)
+        for each in request.attempts:
+            if each.pending:
+                each.sent_at, each.absent_before, each.answers_before = (
+                    self._now,
+                    self._absent_us,
+                    self._answers,
+                )
+                self._schedule(self._now + self._patience(request, each.server), request.ident, each.index)
 
     # -- Overload: refuse early, the least worthy first -----------------------------------------------
 
@@ -665,7 +699,6 @@
         trial = self._trial_due(request)
         if trial is not None:
             return trial, []
-        pool: list[Server] = []
         request.spread = request.spread or self._now == self._back_at
         if not request.spread:
             pool = self._within_reach(self._near, request)
@@ -746,20 +779,12 @@
         """
         if self._settings.prices.cross_zone <= 0.0 or self._late >= LATE_ALLOWED or self._fill() > FREE:
             return 1.0  # room anywhere is worth more than a crossing
-        near = far = 0.0
-        near_count = far_count = 0
-        for each in self._ready:
-            if each.ejected_until is not None:
-                continue
-            if each.zone == self._settings.zone:
-                near += each.pace
-                near_count += 1
-            else:
-                far += each.pace
-                far_count += 1
-        if not near_count or not far_count or far <= 0.0:
+        here, pool = self._settings.zone, [each for each in self._ready if each.ejected_until is None]
+        near = [each.pace for each in pool if each.zone == here]
+        far = [each.pace for each in pool if each.zone != here]
+        if not near or not far or sum(far) <= 0.0:
             return 1.0
-        behind = (near / near_count) / (far / far_count) - 1.0
+        behind = (sum(near) / len(near)) / (sum(far) / len(far)) - 1.0
         return max(REMOTE_LEAST, min(behind / REMOTE_EVEN, 1.0))
 
     def _eligible(self, server: Server, request: Request) -> bool:
@@ -820,17 +845,8 @@
         tied, request.asked = request.asked, []
         if request.answered:
             return
-        best: Server | None = None
-        best_rank = (0, 0.0, 0.0)
-        for server in tied:
-            if server.probed_at is None and server.reported is not None and self._eligible(server, request):
-                away = self._crossing if server.zone != self._settings.zone else 0.0
-                if not server.idle or self._now - server.idle_since >= self._settings.limits.idle_close_us:
-                    away += self._connecting
-                held = (server.reported + 1.0) * server.pace / self._warmth(server)  # cold ones look idle
-                rank = (self._busy(server), (self._by_held.at(held) or 0.0) + away, held)
-                if best is None or rank < best_rank:
-                    best, best_rank = server, rank
+        told = [each for each in tied if each.probed_at is None and self._eligible(each, request)]
+        best = min((e for e in told if e.reported is not None), key=self._told_rank, default=None)
         if not request.spread:
             here = None if best is None or best.reported is None else self._by_held.at(best.reported)
             idle = self._by_held.at(0.0)
@@ -852,6 +868,13 @@
         if best.probed_at is None:
             request.attempts[-1].held = best.reported
 
+    def _told_rank(self, server: Server) -> tuple[int, float, float]:
+        away = self._crossing if server.zone != self._settings.zone else 0.0
+        if not server.idle or self._now - server.idle_since >= self._settings.limits.idle_close_us:
+            away += self._connecting
+        held = ((server.reported or 0.0) + 1.0) * server.pace / self._warmth(server)  # cold ones look idle
+        return self._busy(server), (self._by_held.at(held) or 0.0) + away, held
+
     # -- Connections: where they are priced, few are opened and idle ones closed ----------------------
 
     def _connection_idle(self, server: Server) -> None:
@@ -907,12 +930,15 @@
         if server.ejected_until is not None:
             server.trial = attempt
             self._stuck += 1
-        self._schedule(self._now + self._patience(request, server), request.ident, attempt.index)
+        if request.answer_by != OPEN_UNTIL:
+            self._schedule(self._now + self._patience(request, server), request.ident, attempt.index)
         self._actions.append(Send(request.ident, server.name, request.answer_by))
         return True
 
     def _may_run_again(self, request: Request) -> bool:
-        """Whether the request's class lets another attempt out now."""
+        """Whether the request's class and its body let another attempt out now."""
+        if request.spent:
+            return False
         first_maybe = next((each for each in request.attempts if each.may_have_run), None)
         if first_maybe is None or request.kind.repeat is Repeat.SAFE:
             return True
@@ -944,11 +970,14 @@
     def _close(self, request: Request) -> None:
         """Nothing is owed any more; attempts still out are called off where that is permitted."""
         request.answered = True
-        for attempt in request.attempts:
-            if attempt.pending and not attempt.started and self._settings.limits.may_cancel:
-                self._actions.append(Cancel(request.ident, attempt.index))
+        self._call_off(request)
         self._forget_if_over(request)
 
+    def _call_off(self, request: Request) -> None:
+        for each in request.attempts:
+            if each.pending and not each.started and self._settings.limits.may_cancel:
+                self._actions.append(Cancel(request.ident, each.index))
+
     def _forget_if_over(self, request: Request) -> None:
         if request.answered and not request.is_out():
             self._requests.pop(request.ident, None)
@@ -964,10 +993,9 @@
             return
         attempt.pending = False
         attempt.may_have_run = event.outcome not in self._proves_unrun
-        attempt.server.in_flight -= 1
-        self._pending -= 1
-        if attempt.server.ejected_until is not None:
-            self._stuck -= 1
+        request.spent = request.spent or event.spent
+        if not attempt.started:
+            self._release(attempt)
         if event.outcome in _CONNECTED:
             self._connection_idle(attempt.server)
         self._judge(request, attempt, event.outcome)
@@ -1116,7 +1144,9 @@
 
     def _eject(self, server: Server, reason: str, most: float = EJECTED_MOST) -> None:
         if server.ejected_until is None:
-            if len(self._ejected) + 1 > most * min(len(self._ready), self._reach()):
+            if self._servers.get(server.name) is not server or len(self._ejected) + 1 > most * min(
+                len(self._ready), self._reach()
+            ):
                 return
             self._ejected.append(server)
             self._stuck += server.in_flight
@@ -1139,9 +1169,8 @@
             return None
         for server in self._ejected:
             waited = server.ejected_until is not None and self._now >= server.ejected_until
-            if waited and server.is_ready() and server.trial is None:
-                if self._cold_room(server, request.cost):
-                    return server
+            if waited and server.is_ready() and not server.trial and self._cold_room(server, request.cost):
+                return server
         return None
 
     # -- Slow start -----------------------------------------------------------------------------------
--- a/topazbank/interface.py
+++ b/topazbank/interface.py
@@ -395,6 +395,15 @@
     cost_us: int | None = None  # a hint of the work, where the client gave one
     client_retry: bool = False
     write: bool = False
+    body_open: bool = False  # its body is still coming: its time runs from BodyEnded on
+
+
+@dataclass(slots=True)
+class BodyEnded:
+    """The last byte of a request whose body was open has come."""
+
+    request: int
+    remaining_us: int
 
 
 @dataclass(slots=True)
@@ -409,7 +418,11 @@
 
 @dataclass(slots=True)
 class AttemptEnded:
-    """An attempt ended.  `answered`: the client has its final answer, by this outcome or an earlier one."""
+    """An attempt ended.  `answered`: the client has its final answer, by this outcome or an earlier one.
+
+    `elapsed_us` is what the server took: to the first byte of a streamed answer, and from the last byte of a
+    streamed body.
+    """
 
     request: int
     attempt: int
@@ -418,6 +431,7 @@
     elapsed_us: int
     answered: bool
     report: Mapping[str, float] | None = None
+    spent: bool = False  # the body is no longer held whole: it can't be sent again
 
 
 @dataclass(slots=True)
@@ -470,6 +484,7 @@
 Event = (
     ServersListed
     | RequestArrived
+    | BodyEnded
     | AnswerStarted
     | AttemptEnded
     | RequestGone
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -7,17 +7,28 @@
 import logging
 import math
 import socket
+import struct
 from collections.abc import Callable
 from dataclasses import dataclass
 
 import h11
 
 from topazbank.interface import Repeat, Settings
+from topazbank.net.streams import (
+    EVENTS_AT_ONCE,
+    HELD_WHOLE,
+    LONGEST,
+    STALLED_S,
+    Budget,
+    Receiver,
+    Sink,
+    Source,
+    Upload,
+)
 from topazbank.net.upstream import Address, Headers, end_to_end, is_quiet
 
 log = logging.getLogger(__name__)
 
-BODY_MOST = 64 * 1024
 _READY_PATH = b"/health/ready"
 _API_PATH = b"/api"
 _BACKLOG = 512
@@ -25,11 +36,13 @@
 _ACCEPTED_AT_ONCE = 64  # connections taken in one step of the event loop
 _LET_GO_EVERY_S = 0.02  # how often a drain looks for connections that came to rest
 _ACCEPT_PAUSE_S = 0.05  # after a failed accept, descriptors lacking: no spinning
-_WHOLE_S = (
-    2.0  # from its connection or its first byte, what a request may take to come: after 3 s it is owed an end
+_WHOLE_S = 2.5  # what a head may take from its first byte: slow ones take 2 s, and after 3 s an end is owed
+_BODY_BEGINS_S = 1.5  # after its head, when a body must have begun to come
+_BODY_RATE = (
+    32_000.0  # bytes a second at which it must go on; the slowest that are owed service send twice as fast
 )
-_UNREAD_S = 3.0  # how long a client may leave its answer unread: longer than any of them is waited for
-_LINGER_S = 1.0  # how long an ended connection is read on, so that its answer arrives
+_LINGER_S = 1.0  # how long an ended connection is read on after its last byte, so that its answer arrives
+_LINGER_MOST_S = 30.0  # and in all: a long body may still be under way
 _REASONS = {
     200: b"OK",
     400: b"Bad Request",
@@ -64,6 +77,8 @@
     again: bool
     port: int  # of the application's connection, for the log
     answer: Callable[[int, Headers, bytes], None]
+    begin: Callable[[Headers, int | None, Source], Sink | None]  # in place of `answer`, where that is long
+    upload: Upload | None = None  # in place of the body, where that is long
 
 
 @dataclass(slots=True)
@@ -73,10 +88,15 @@
     taken: Callable[[Call], None]
     gone: Callable[[Call], None]
     ready: Callable[[], bool]
+    whole: Callable[[Call], None] = lambda call: None  # the last byte of a long body has come
 
 
 def parse_call(
-    head: h11.Request, body: bytes, answer: Callable[[int, Headers, bytes], None], port: int = 0
+    head: h11.Request,
+    body: bytes,
+    answer: Callable[[int, Headers, bytes], None],
+    begin: Callable[[Headers, int | None, Source], Sink | None],
+    port: int = 0,
 ) -> Call:
     """Read a request of the application; raise BadRequest where a header is missing or makes no sense."""
     given = {name: value.decode("latin-1").strip() for name, value in head.headers}
@@ -97,6 +117,7 @@
         again=given.get(b"x-again") == "1",
         port=port,
         answer=answer,
+        begin=begin,
     )
 
 
@@ -149,10 +170,11 @@
         return int.from_bytes(last, "big")
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(Receiver):
     """One connection of the application; it carries one request at a time."""
 
     def __init__(self, frontend: Frontend, sock: socket.socket) -> None:
+        super().__init__(frontend.budget)
         self._frontend = frontend
         self._sock = sock
         self._port = 0
@@ -161,9 +183,19 @@
         self._head: h11.Request | None = None
         self._body = bytearray()
         self._call: Call | None = None
+        self._upload: Upload | None = None  # where the body goes that is still coming
+        self._source: Source | None = None  # where the long answer under way comes from
         self._stuck = False  # the last answer is not all written yet
-        self._lingering = False  # what still comes is dropped: its framing is lost
+        self._unread = 0  # how much of it was still to be written when that was last looked at
+        self._more = False  # h11 holds more than one step may parse
+        self._paused = False  # nothing is read for now
+        self._lingering_until: float | None = None  # what still comes is dropped: its framing is lost
         self._due: asyncio.TimerHandle | None = None  # when a request that is awaited must have come whole
+        self._began = 0.0  # when it began to be awaited
+        self._body_from = 0.0  # since when its body is counted
+        self._body_came = 0  # bytes of it since then
+        self._came_at = 0.0  # when the last of them came
+        self._uploaded = 0  # bytes of a long body, from its beginning
         self.used = False  # whether it has carried a request
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -177,36 +209,55 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._frontend.lost(self)
         self._await_no_more()
+        self._count_unread(0)
+        self._let_body_go()
         self._client_gone()
 
     def eof_received(self) -> bool:
         return False  # a client that closes has gone away
 
     def data_received(self, data: bytes) -> None:
-        if self._lingering:
+        if self._lingering_until is not None:
+            self._linger_on()
             return
+        self._came_at = asyncio.get_running_loop().time()
         try:
             self._h11.receive_data(data)
         except h11.RemoteProtocolError as bad:
             self._reject(BadRequest(400, str(bad)))
             return
-        if self._call is None and not self._stuck:
+        if self._upload is not None or (self._call is None and not self._stuck):
             self._read()
-        elif len(self._h11.trailing_data[0]) > BODY_MOST and self._transport is not None:
+        elif len(self._h11.trailing_data[0]) > HELD_WHOLE and self._transport is not None:
             self._transport.pause_reading()  # it sends ahead; what is held is bounded
 
+    # -- Time limits: peers that send slowly or nothing may not hold descriptors ----------------------
+
     def _await_request(self) -> None:
-        """Bound the time of a request: peers that send slowly or nothing may not hold descriptors."""
         if self._due is None:
-            self._due = asyncio.get_running_loop().call_later(_WHOLE_S, self._too_slow, True)
+            loop = asyncio.get_running_loop()
+            self._began = loop.time()
+            self._due = loop.call_later(_WHOLE_S, self._too_slow, True)
 
     def _await_no_more(self) -> None:
         if self._due is not None:
             self._due.cancel()
             self._due = None
 
+    def _due_at(self) -> float:
+        """When what has come so far must have become more: a body may take its time while it moves."""
+        if self._head is None:
+            return self._began + _WHOLE_S
+        in_time = self._body_from + _BODY_BEGINS_S + self._body_came / _BODY_RATE
+        return max(self._began + _WHOLE_S, min(in_time, self._came_at + STALLED_S))
+
     def _too_slow(self, look_again: bool) -> None:
         loop = asyncio.get_running_loop()
+        if self._paused:
+            self._count_body_anew()  # it is not read: its server is the slow one
+        if (due := self._due_at()) > loop.time():
+            self._due = loop.call_at(due, self._too_slow, True)
+            return
         if look_again and not is_quiet(self._sock):  # our own delay: read first what waits
             self._due = loop.call_later(_LOOK_AGAIN_S, self._too_slow, False)
             return
@@ -216,18 +267,48 @@
         else:
             self.close()
 
+    def _count_body_anew(self) -> None:
+        self._body_from = self._came_at = asyncio.get_running_loop().time()
+        self._body_came = 0
+
+    # -- Writing: a client that reads nothing is given up, a slow one is not --------------------------
+
     def pause_writing(self) -> None:
         self._stuck = True
         if self._transport is not None:
-            self._await_no_more()
-            self._due = asyncio.get_running_loop().call_later(_UNREAD_S, self._transport.abort)
+            self._count_unread(self._transport.get_write_buffer_size())
+            if self._source is not None:
+                self._source.pause()
+            if self._upload is None:
+                self._await_no_more()
+                self._due = asyncio.get_running_loop().call_later(STALLED_S, self._look_unread)
 
     def resume_writing(self) -> None:
         self._stuck = False
-        self._await_no_more()
-        if self._call is None:
+        self._count_unread(0)
+        if self._upload is None:
+            self._await_no_more()
+        if self._source is not None:
+            self._source.resume()
+        elif self._call is None:
             self._next_request()
 
+    def _look_unread(self) -> None:
+        if self._transport is None:
+            return
+        left = self._transport.get_write_buffer_size()
+        if left >= self._unread:
+            self._transport.abort()
+            return
+        self._count_unread(left)
+        self._due = asyncio.get_running_loop().call_later(STALLED_S, self._look_unread)
+
+    def _count_unread(self, size: int) -> None:
+        self.budget.held += size - self._unread
+        self._unread = size
+
+    # -- Reading --------------------------------------------------------------------------------------
+
     def is_idle(self) -> bool:
         """Whether it may be closed: no request is held, begun or waiting unread."""
         held = self._call is not None or self._head is not None or self._stuck or self._h11.trailing_data[0]
@@ -238,10 +319,17 @@
             self._transport.close()
 
     def _read(self) -> None:
-        """Take what has come, up to the end of one request."""
+        """Take what has come, up to the end of one request and a bounded number of events in a step."""
+        if self._more:
+            return  # its turn comes
         try:
-            while self._next_event():
-                pass
+            for _ in range(EVENTS_AT_ONCE):
+                if not self._next_event():
+                    break
+            else:
+                self._more = True
+                self._read_or_not()
+                asyncio.get_running_loop().call_soon(self._read_on)
             if self._call is None and (self._head is not None or self._h11.trailing_data[0]):
                 self._await_request()
         except BadRequest as bad:
@@ -253,15 +341,33 @@
             if self._transport is not None:
                 self._reject(BadRequest(500, "internal error"))
 
+    def _read_on(self) -> None:
+        self._more = False
+        self._read_or_not()
+        if self._transport is not None and not self._transport.is_closing() and self._lingering_until is None:
+            if self._upload is not None or (self._call is None and not self._stuck):
+                self._read()
+
+    def _read_or_not(self) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        was, self._paused = self._paused, self._more or (self._upload is not None and self._upload.is_full())
+        if self._paused:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+            if was:
+                self._count_body_anew()
+
     def _next_event(self) -> bool:
+        if self._lingering_until is not None:
+            return False
         event = self._h11.next_event()
         if isinstance(event, h11.Request):
             self._head = event
             self._begin(event)
         elif isinstance(event, h11.Data):
-            self._body += event.data
-            if len(self._body) > BODY_MOST:
-                raise BadRequest(413, "the body is too large")
+            self._take(event.data)
         elif isinstance(event, h11.EndOfMessage):
             self._whole()
             return False
@@ -269,66 +375,175 @@
 
     def _begin(self, head: h11.Request) -> None:
         _check_framing(head)
-        length = next((v for n, v in head.headers if n == b"content-length"), b"0")
-        if int(length) > BODY_MOST:
+        self._count_body_anew()
+        length = int(next((v for n, v in head.headers if n == b"content-length"), b"0"))
+        if length > LONGEST:
             raise BadRequest(413, "the body is too large")
+        if length > HELD_WHOLE:
+            self._begin_upload(head, length)
         if self._h11.they_are_waiting_for_100_continue and self._transport is not None:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             self._transport.write(self._h11.send(go_on) or b"")
 
+    def _take(self, data: bytes) -> None:
+        """Take some of the body."""
+        self._body_came += len(data)
+        if self._upload is not None:
+            self._uploaded += len(data)
+            if self._uploaded > LONGEST:
+                raise BadRequest(413, "the body is too large")
+            self._upload.feed(data)
+            self._read_or_not()
+            return
+        self._body += data
+        self.budget.held += len(data)
+        if not self.budget.may_hold(len(self._body)) and self._head is not None:
+            self._begin_upload(self._head, None)
+
+    def _begin_upload(self, head: h11.Request, length: int | None) -> None:
+        """Pass a long body on as it comes, with its request taken before its end."""
+        call = self._parsed(head, b"")
+        if length is None:
+            length = next((int(v) for n, v in head.headers if n == b"content-length"), None)
+        self._await_request()
+        self._upload = call.upload = Upload(length, self._read_or_not)
+        self._uploaded = len(self._body)
+        self.budget.streams += 1
+        self._upload.feed(self._body)
+        self._let_body_go()
+        self.used = True
+        self._call = call
+        self._frontend.hooks.taken(call)
+        self._read_or_not()
+
+    def _end_upload(self) -> None:
+        if self._upload is not None:
+            self._upload = None
+            self.budget.streams -= 1
+            self._await_no_more()
+            self._read_or_not()
+
+    def _let_body_go(self) -> None:
+        self.budget.held -= len(self._body)
+        self._body = bytearray()
+
+    def _parsed(self, head: h11.Request, body: bytes) -> Call:
+        path = head.target.partition(b"?")[0]
+        if path != _API_PATH and not path.startswith(_API_PATH + b"/"):
+            raise BadRequest(404, "no such path")
+        call = parse_call(head, body, self._answer, self._begin_answer, self._port)
+        _check_call(call, head, self._frontend.settings)
+        return call
+
     def _whole(self) -> None:
         """A request has come whole."""
         head, body = self._head, bytes(self._body)
         assert head is not None
         self._await_no_more()
         self.used = True
-        path = head.target.partition(b"?")[0]
-        if path == _READY_PATH:
+        if self._upload is not None:
+            upload, call = self._upload, self._call
+            self._end_upload()
+            upload.end()
+            if call is not None:
+                self._frontend.hooks.whole(call)
+        elif head.target.partition(b"?")[0] == _READY_PATH:
             self._answer(200 if self._frontend.hooks.ready() else 503, [], b"")
-        elif path != _API_PATH and not path.startswith(_API_PATH + b"/"):
-            raise BadRequest(404, "no such path")
         else:
-            call = parse_call(head, body, self._answer, self._port)
-            _check_call(call, head, self._frontend.settings)
-            self._call = call
-            self._frontend.hooks.taken(call)
+            self._call = self._parsed(head, body)
+            self._frontend.hooks.taken(self._call)
 
     def _reject(self, bad: BadRequest) -> None:
         log.info("request from port %d rejected: %.120s", self._port, bad)
+        self._client_gone()  # nothing more of a body that was under way
         if self._h11.our_state is h11.SEND_RESPONSE or self._h11.our_state is h11.IDLE:
             self._answer(bad.status, [(b"Content-Type", b"text/plain")], f"{bad}\n".encode())
         elif self._call is None:
             self.close()
 
+    # -- Answering ------------------------------------------------------------------------------------
+
     def _answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Write an answer whole, at once; its connection goes on if framing allows."""
         self._call = None
         if self._transport is None or self._transport.is_closing():
             return
         headers = [*headers, (b"Content-Length", str(len(body)).encode())]
-        whole = self._h11.their_state is h11.DONE
-        if self._frontend.draining or not whole:
-            headers.append((b"Connection", b"close"))
-        reason = _REASONS.get(status, b"")
-        events = [h11.Response(status_code=status, headers=headers, reason=reason), h11.EndOfMessage()]
+        events: list[h11.Event] = [self._response(status, headers), h11.EndOfMessage()]
         if body:
             events.insert(1, h11.Data(data=body))
-        self._head, self._body = None, bytearray()
         self._transport.write(b"".join(self._h11.send(each) or b"" for each in events))
-        if not whole:
+        self._answered()
+
+    def _response(self, status: int, headers: Headers) -> h11.Response:
+        if self._frontend.draining or self._h11.their_state is not h11.DONE:
+            headers.append((b"Connection", b"close"))
+        return h11.Response(status_code=status, headers=headers, reason=_REASONS.get(status, b""))
+
+    def _answered(self) -> None:
+        """An answer is written to its end: on to the next request, or to the end of the connection."""
+        self._head = None
+        self._let_body_go()
+        self._end_upload()
+        if self._h11.their_state is not h11.DONE:
             self._linger()
         elif self._h11.our_state is not h11.DONE:
             self.close()
         elif not self._stuck:
             asyncio.get_running_loop().call_soon(self._next_request)
 
+    def _begin_answer(self, headers: Headers, length: int | None, source: Source) -> Sink | None:
+        """Begin an answer that is passed on as it comes; None where the client has left."""
+        if self._transport is None or self._transport.is_closing():
+            return None
+        if length is not None:
+            headers = [*headers, (b"Content-Length", str(length).encode())]
+        self._source = source
+        self._transport.write(self._h11.send(self._response(200, list(headers))) or b"")
+        return self
+
+    def pass_on(self, data: bytes) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(self._h11.send(h11.Data(data=data)) or b"")
+
+    def end_answer(self) -> None:
+        self._call = self._source = None
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(self._h11.send(h11.EndOfMessage()) or b"")
+            self._answered()
+
+    def break_answer(self) -> None:
+        """End the connection short of the answer's end; where only that end would tell of it, by a reset."""
+        self._call = self._source = None
+        if self._transport is None or self._transport.is_closing():
+            return
+        if self._h11.their_http_version == b"1.0":
+            with contextlib.suppress(OSError):
+                self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self._transport.abort()
+        else:
+            self.close()
+
     def _linger(self) -> None:
         """End our side and drop what still comes: closing on unread bytes would reset the answer away."""
         if self._transport is not None:
-            self._lingering = True
-            self._await_no_more()
+            loop = asyncio.get_running_loop()
+            self._lingering_until = loop.time() + _LINGER_MOST_S
+            self._transport.resume_reading()
             self._transport.write_eof()
-            asyncio.get_running_loop().call_later(_LINGER_S, self.close)
+            self._linger_on()
+
+    def _linger_on(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._await_no_more()
+        until = min(loop.time() + _LINGER_S, self._lingering_until or 0.0)
+        self._due = loop.call_at(until, self._end_linger)
+
+    def _end_linger(self) -> None:
+        if self._transport is not None and self._transport.get_write_buffer_size():
+            self._transport.abort()  # it does not read its answer: a close would wait for it
+        else:
+            self.close()
 
     def _next_request(self) -> None:
         """Turn to what came behind the answered request."""
@@ -337,7 +552,7 @@
         if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
             self._h11.start_next_cycle()
             self._frontend.rested(self)
-            self._transport.resume_reading()
+            self._read_or_not()
             if ahead := self._h11.trailing_data[0]:
                 log.info("port %d sent %d bytes behind its request: %.60r", self._port, len(ahead), ahead)
             self._read()
@@ -346,6 +561,7 @@
         call, self._call = self._call, None
         if call is not None:
             self._frontend.hooks.gone(call)
+        self._end_upload()
 
 
 def _inherited(fd: int) -> socket.socket:
@@ -368,9 +584,16 @@
     """Listens for the application, within a bound on its connections."""
 
     def __init__(
-        self, address: Address, most: int, hooks: Hooks, settings: Settings, inherited: int | None = None
+        self,
+        address: Address,
+        most: int,
+        hooks: Hooks,
+        settings: Settings,
+        inherited: int | None = None,
+        budget: Budget | None = None,
     ) -> None:
         self.hooks = hooks
+        self.budget = budget or Budget()
         self.settings = settings
         self.draining = False
         self._letting_go: asyncio.TimerHandle | None = None
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -10,9 +10,10 @@
 import contextlib
 import itertools
 import logging
+import math
 import time
 from collections import Counter, deque
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
@@ -23,7 +24,9 @@
 from topazbank.balancer import Balancer
 from topazbank.interface import (
     Action,
+    AnswerStarted,
     AttemptEnded,
+    BodyEnded,
     Cancel,
     CloseIdle,
     Event,
@@ -54,6 +57,7 @@
 from topazbank.net.discovery import Discovery, Told
 from topazbank.net.frontend import Call, Frontend, Hooks
 from topazbank.net.orders import Orders
+from topazbank.net.streams import Budget, Sink, Source
 from topazbank.net.upstream import Address, Exchange, Headers, Response
 
 log = logging.getLogger(__name__)
@@ -108,12 +112,14 @@
 
     ident: int
     call: Call
-    taken_at: int
-    answer_by: int
+    taken_at: int  # when its last byte came, once that is so
+    answer_by: int | None  # None: its body is still coming
     answered: bool = False
     sent: int = 0  # attempts so far
     out: dict[int, Exchange | None] = field(default_factory=dict)  # those that have not ended, by number
     backstop: asyncio.TimerHandle | None = None
+    streamed: int | None = None  # the attempt whose answer is passed on as it comes
+    first_byte_us: int = 0  # how long it took to the first byte of that
     trail: list[str] = field(default_factory=list)  # how its attempts ended, for the log
 
 
@@ -127,6 +133,7 @@
     sockets: int
     settings: Settings
     known: Told
+    memory_mb: int = 64
     orders: Path = Path()  # a folder that outlasts this process
     mgmt: Address | None = None  # where the operators call; None: nowhere
     accept_fd: int | None = None  # the listening socket, where the platform holds it
@@ -150,11 +157,13 @@
         self._trails = 0  # since the log was last told
         half = max((config.sockets - _FDS_KEPT) // 2, 1)
         limits = settings.limits
-        self._upstream = upstream.Upstream(limits.dial_timeout_us / 1e6, limits.idle_close_us / 1e6, half)
+        budget = Budget(config.memory_mb)
+        dial_s, idle_s = limits.dial_timeout_us / 1e6, limits.idle_close_us / 1e6
+        self._upstream = upstream.Upstream(dial_s, idle_s, half, budget)
         self._known = config.known
         self._discovery = Discovery(config.discovery, config.known.version, self._told)
-        hooks = Hooks(self._taken, self._gone, self._is_ready)
-        self.frontend = Frontend(config.listen, half, hooks, settings, config.accept_fd)
+        hooks = Hooks(self._taken, self._gone, self._is_ready, self._body_ended)
+        self.frontend = Frontend(config.listen, half, hooks, settings, config.accept_fd, budget)
         self._takes_over = config.accept_fd is not None
         self._listed = asyncio.Event()  # discovery has answered
         self._takes_clients = False
@@ -370,10 +379,10 @@
 
     def _taken(self, call: Call) -> None:
         now = self._clock.now()
-        live = Live(next(self._idents), call, now, now + call.budget_us)
+        live = Live(next(self._idents), call, now, None)
         self._live[live.ident] = self._by_call[call] = live
-        at = self._clock.on_loop(live.answer_by)
-        live.backstop = asyncio.get_running_loop().call_at(at, self._give_up, live.ident)
+        if call.upload is None:
+            self._start_clock(live)
         self.handle(
             RequestArrived(
                 live.ident,
@@ -383,12 +392,35 @@
                 call.budget_us,
                 call.cost_us,
                 call.again,
+                body_open=call.upload is not None,
             )
         )
 
+    def _start_clock(self, live: Live) -> None:
+        """A client waits for its answer from its request's last byte on."""
+        live.taken_at = self._clock.now()
+        live.answer_by = live.taken_at + live.call.budget_us
+        at = self._clock.on_loop(live.answer_by)
+        live.backstop = asyncio.get_running_loop().call_at(at, self._give_up, live.ident)
+
+    def _body_ended(self, call: Call) -> None:
+        live = self._by_call.get(call)
+        if live is None or live.answered:
+            return
+        self._start_clock(live)
+        assert live.answer_by is not None
+        until = self._clock.on_loop(live.answer_by)
+        for attempt in live.out.values():
+            if attempt is not None:
+                self._upstream.limit(attempt, until)
+        self.handle(BodyEnded(live.ident, call.budget_us))
+
     def _gone(self, call: Call) -> None:
         live = self._by_call.pop(call, None)
-        if live is not None and not live.answered:
+        if live is not None and live.streamed is not None:
+            if (attempt := live.out.get(live.streamed)) is not None:
+                self._upstream.cancel(attempt)
+        elif live is not None and not live.answered:
             self._log_trail(live, "client gone")
             self._mark_answered(live)
             self.handle(RequestGone(live.ident))
@@ -424,17 +456,19 @@
 
     def _mark_answered(self, live: Live) -> None:
         live.answered = True
-        self._by_call.pop(live.call, None)
+        if live.streamed is None:
+            self._by_call.pop(live.call, None)
         if live.backstop is not None:
             live.backstop.cancel()
-        for attempt in list(live.out.values()):
-            if attempt is not None:
+        for index, attempt in list(live.out.items()):
+            if attempt is not None and index != live.streamed:
                 self._upstream.unsend(attempt)  # nothing is sent for a request that is over
         self._forget_if_over(live)
 
     def _forget_if_over(self, live: Live) -> None:
         if live.answered and not live.out:
             self._live.pop(live.ident, None)
+            self._by_call.pop(live.call, None)
 
     def _refuse(self, action: Refuse) -> None:
         live = self._live.get(action.request)
@@ -461,9 +495,13 @@
             return
         live.sent += 1
         live.out[index] = None
-        until = self._clock.on_loop(min(action.until or live.answer_by, live.answer_by))
-        ended = partial(self._attempt_ended, live, index, action.server, self._clock.now())
-        order = upstream.Order(partial(_head, live.call), live.call.body)
+        until = math.inf
+        if live.answer_by is not None:
+            until = self._clock.on_loop(min(action.until or live.answer_by, live.answer_by))
+        sent_at = self._clock.now()
+        ended = partial(self._attempt_ended, live, index, action.server, sent_at)
+        starts = partial(self._answer_starts, live, index, action.server, sent_at)
+        order = upstream.Order(partial(_head, live.call), live.call.body, live.call.upload, starts)
         try:
             exchange = self._upstream.send(action.server, order, until, ended)
         except Exception:
@@ -472,21 +510,49 @@
         if index in live.out:
             live.out[index] = exchange
 
+    def _answer_starts(
+        self,
+        live: Live,
+        index: int,
+        server: str,
+        sent_at: int,
+        head: h11.Response,
+        length: int | None,
+        source: Source,
+    ) -> Sink | None:
+        """A long answer begins: from here on it is passed on as it comes, and no other may answer."""
+        attempt = live.out.get(index)
+        if live.answered or attempt is None:
+            return None
+        sink = live.call.begin(_about_body(head.headers), length, source)
+        if sink is None:
+            return None
+        self._upstream.unlimit(attempt)
+        live.streamed, live.first_byte_us = index, self._clock.now() - max(sent_at, live.taken_at)
+        self._answers[200] += 1
+        self._mark_answered(live)
+        self.handle(AnswerStarted(live.ident, index, server, live.first_byte_us))
+        return sink
+
     def _attempt_ended(
         self, live: Live, index: int, server: str, sent_at: int, outcome: Outcome, response: Response | None
     ) -> None:
         if index not in live.out:
             return
         del live.out[index]
-        elapsed = self._clock.now() - sent_at
+        elapsed = self._clock.now() - max(sent_at, live.taken_at)
         told = outcome.value if response is None else f"{outcome.value} {response.status}"
         live.trail.append(f"{server} {told} {elapsed / 1000:.1f} ms")
-        if outcome is Outcome.DELIVERED and response is not None:
-            about_body = [each for each in response.headers if each[0] in _ABOUT_BODY]
-            self._answer(live, 200, about_body, response.body)
+        if index == live.streamed:
+            if outcome is not Outcome.DELIVERED:
+                self._log_trail(live, "answer broken off")
+            elapsed = live.first_byte_us
+        elif outcome is Outcome.DELIVERED and response is not None:
+            self._answer(live, 200, _about_body(response.headers), response.body)
         report = self._report(response)
         self._forget_if_over(live)
-        self.handle(AttemptEnded(live.ident, index, server, outcome, elapsed, live.answered, report))
+        spent = live.call.upload is not None and live.call.upload.spent
+        self.handle(AttemptEnded(live.ident, index, server, outcome, elapsed, live.answered, report, spent))
 
     def _report(self, response: Response | None) -> dict[str, float] | None:
         if response is None:
@@ -543,11 +609,19 @@
         raise Declined(500, f"the order could not be stored: {fault}") from None
 
 
+def _about_body(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
+    return [each for each in headers if each[0] in _ABOUT_BODY]
+
+
 def _head(call: Call, left_s: float) -> h11.Request:
     """The head of an attempt: the application's, with the time that is left for it."""
-    headers = [*call.headers, (b"X-Budget", b"%.6f" % left_s)]
+    headers = [*call.headers, (b"X-Budget", b"%.6f" % min(left_s, call.budget_us / 1e6))]
     if not any(name == b"host" for name, _ in headers):
         headers.append((b"Host", b"sidecar"))  # HTTP/1.0 allows none, HTTP/1.1 needs one
-    if call.body or call.method not in (b"GET", b"HEAD"):
+    if call.upload is not None and call.upload.length is None:
+        headers.append((b"Transfer-Encoding", b"chunked"))
+    elif call.upload is not None:
+        headers.append((b"Content-Length", str(call.upload.length).encode()))
+    elif call.body or call.method not in (b"GET", b"HEAD"):
         headers.append((b"Content-Length", str(len(call.body)).encode()))
     return h11.Request(method=call.method, target=call.target, headers=headers)
--- a/topazbank/net/upstream.py
+++ b/topazbank/net/upstream.py
@@ -18,6 +18,16 @@
 import h11
 
 from topazbank.interface import Outcome, ServerState
+from topazbank.net.streams import (
+    EVENTS_AT_ONCE,
+    HELD_WHOLE,
+    STALLED_S,
+    Budget,
+    Receiver,
+    Sink,
+    Source,
+    Upload,
+)
 
 log = logging.getLogger(__name__)
 
@@ -25,7 +35,7 @@
 Headers = list[tuple[bytes, bytes]]
 
 _NOWHERE: Address = ("127.0.0.1", 0)  # of a server that takes nothing new anyway
-BODY_MOST = 64 * 1024  # of an attempt's answer, as the protocol has it
+_HELD_LONG_S = 1.0  # how long the beginning of an answer is kept back whose length is not told
 _IDLE_MARGIN = 0.1  # an idle connection is closed this part of its time before the server would
 _PROBE_DIALS = 4.0  # a probe may take this many dial time limits
 _HOP_BY_HOP = frozenset(
@@ -69,10 +79,15 @@
         return next((v.decode("latin-1") for n, v in self.headers if n == name), None)
 
 
-class Connection(asyncio.Protocol):
+Starts = Callable[[h11.Response, int | None, Source], Sink | None]
+"""Tells where a long answer of this head and length goes; None: nobody wants it any more."""
+
+
+class Connection(Receiver):
     """One connection to a server; it carries one request at a time."""
 
-    def __init__(self, sock: socket.socket, body_most: int) -> None:
+    def __init__(self, sock: socket.socket, body_most: int, budget: Budget) -> None:
+        super().__init__(budget)
         self.sock = sock
         self.reusable = True
         self._body_most = body_most
@@ -85,6 +100,16 @@
         self.heard = False  # whether a byte of the answer has come: the process is there
         self._head: h11.Response | None = None
         self._body = bytearray()
+        self._upload: Upload | None = None  # what is still to be written of a long request
+        self._full = False  # what was written last is not all with the kernel
+        self._starts: Starts | None = None
+        self._sink: Sink | None = None  # where the answer under way goes on to
+        self._out = bytearray()  # of it, what this step of the event loop has found
+        self._kept_back = False  # the sink takes no more for now
+        self._more = False  # h11 holds more than one step may parse
+        self._held_long: asyncio.TimerHandle | None = None
+        self._watch: asyncio.TimerHandle | None = None
+        self._moved = 0  # bytes in and out, so that a stall is told from slowness
         self.on_lost: Callable[[], None] = lambda: None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -102,26 +127,77 @@
         open_ = self._transport is not None and not self._transport.is_closing()
         return open_ and self.reusable and self._ended is None and is_quiet(self.sock)
 
-    def request(self, head: h11.Request, body: bytes, ended: Callable[[Response | None], None]) -> None:
-        """Write a request; `ended` is called once, with the whole answer or with None if it broke."""
+    def request(
+        self,
+        head: h11.Request,
+        body: bytes,
+        ended: Callable[[Response | None], None],
+        upload: Upload | None = None,
+        starts: Starts | None = None,
+    ) -> None:
+        """Write a request; `ended` is called once, with the whole answer or with None if it broke.
+
+        An answer too long to be held goes where `starts` says; its `Response` then has no body.
+        """
         assert self._transport is not None
-        self._ended, self._written, self.heard = ended, False, False
+        data = self._h11.send(head) or b""
+        self._ended, self._written, self.heard, self._starts = ended, False, False, starts
         self._carried += 1
         self._asked_at = asyncio.get_running_loop().time()
-        events = [head, h11.Data(data=body), h11.EndOfMessage()] if body else [head, h11.EndOfMessage()]
-        data = b"".join(self._h11.send(each) or b"" for each in events)
+        if upload is not None:
+            self._upload = upload
+            self._transport.write(data)
+            self._keep_watch()
+            upload.on_more = self._pump
+            self._pump()
+            return
+        events = [h11.Data(data=body), h11.EndOfMessage()] if body else [h11.EndOfMessage()]
+        data += b"".join(self._h11.send(each) or b"" for each in events)
         self._transport.write(data)
+        self._note_written()
+
+    def _note_written(self) -> None:
         # A failed write closes the transport and empties its buffer, with nothing of it sent.
+        assert self._transport is not None
         self._written = not self._transport.is_closing() and not self._transport.get_write_buffer_size()
 
+    def _pump(self) -> None:
+        """Write what has come of a long body, while the server reads it."""
+        while self._upload is not None and not self._full and self._transport is not None:
+            if self._transport.is_closing():
+                return
+            if data := self._upload.take():
+                self._moved += len(data)
+                self._transport.write(self._h11.send(h11.Data(data=data)) or b"")
+            elif self._upload.ended:
+                self._drop_upload()
+                self._transport.write(self._h11.send(h11.EndOfMessage()) or b"")
+                self._note_written()
+            else:
+                return
+
+    def _drop_upload(self) -> None:
+        upload, self._upload = self._upload, None
+        if upload is not None:
+            upload.drop()
+
+    def pause_writing(self) -> None:
+        self._full = True
+
     def resume_writing(self) -> None:
-        self._written = self._ended is not None
+        self._full = False
+        self._moved += 1
+        if self._upload is not None:
+            self._pump()
+        else:
+            self._written = self._ended is not None
 
     def data_received(self, data: bytes) -> None:
         if self._ended is None:
             self.abort()  # stray bytes: what they answer is anyone's guess
             return
         self.heard = True
+        self._moved += len(data)
         self._feed(data)
 
     def eof_received(self) -> bool:
@@ -132,42 +208,162 @@
     def _feed(self, data: bytes) -> None:
         try:
             self._h11.receive_data(data)
-            while self._next_event():
-                pass
         except h11.RemoteProtocolError as broken:
-            log.info("answer cut short or malformed: %.80s; it began %.60r", broken, data)
-            self._finish(None)
+            self._broken(broken, data)
+        else:
+            self._parse(data)
+
+    def _parse(self, data: bytes = b"") -> None:
+        """Take the events of what has come, a bounded number in a step of the event loop."""
+        try:
+            for _ in range(EVENTS_AT_ONCE):
+                if not self._next_event():
+                    break
+            else:
+                self._more = True
+                self._read_or_not()
+                asyncio.get_running_loop().call_soon(self._parse_on)
+            self._flush()
+        except h11.RemoteProtocolError as broken:
+            self._flush()
+            self._broken(broken, data)
+
+    def _parse_on(self) -> None:
+        self._more = False
+        if self._ended is not None:
+            self._parse()
+            self._read_or_not()
+
+    def _broken(self, broken: Exception, data: bytes) -> None:
+        log.info("answer cut short or malformed: %.80s; it began %.60r", broken, data)
+        self._finish(None)
 
     def _next_event(self) -> bool:
         event = self._h11.next_event()
         if isinstance(event, h11.Response):
             self._head = event
-        elif isinstance(event, h11.Data):
-            self._body += event.data
-            if len(self._body) > self._body_most:
-                log.info("answer of more than %d bytes", self._body_most)
+            if not self._is_framed(event):
+                log.info("answer without framing")
                 self._finish(None)
                 return False
+            length = self._length(event)
+            if length is not None and length > self._body_most:
+                return self._go_on(length)
+        elif isinstance(event, h11.Data):
+            if self._sink is not None:
+                self._out += event.data
+                return True
+            if not self._body and self._starts is not None and self._length(self._head) is None:
+                loop = asyncio.get_running_loop()
+                self._held_long = loop.call_later(_HELD_LONG_S, self._held_too_long)
+            self._body += event.data
+            self.budget.held += len(event.data)
+            if len(self._body) > self._body_most or (
+                self._starts is not None and not self.budget.may_hold(len(self._body))
+            ):
+                return self._go_on(self._length(self._head))
         elif isinstance(event, h11.EndOfMessage):
             self._finish(self._response())
             return False
         return not isinstance(event, h11.ConnectionClosed | type(h11.NEED_DATA))
 
+    @staticmethod
+    def _length(head: h11.Response | None) -> int | None:
+        """How long the answer's body is, where its head tells."""
+        headers = [] if head is None else head.headers
+        return next((int(value) for name, value in headers if name == b"content-length"), None)
+
+    def _held_too_long(self) -> None:
+        """A body of unknown length comes slowly: it may be a long one, whose beginning is not kept back."""
+        if self._ended is not None and self._sink is None and self._body:
+            self._go_on(None)
+            self._flush()
+
+    def _go_on(self, length: int | None) -> bool:
+        """Pass a long answer on as it comes; say whether to read on."""
+        head = self._head
+        if head is None or head.status_code != 200 or self._starts is None:
+            log.info("answer of more than %d bytes", self._body_most)
+            # Of an answer that is no success, the head tells all there is to know.
+            no_success = head is not None and head.status_code != 200 and self._starts is not None
+            self._finish(Response(head.status_code, list(head.headers), b"") if head and no_success else None)
+            return False
+        self._sink = self._starts(head, length, self)
+        if self._sink is None:
+            self._finish(None)
+            return False
+        self.budget.streams += 1
+        self._out += self._body
+        self._let_body_go()
+        self._keep_watch()
+        return True
+
+    def _let_body_go(self) -> None:
+        self.budget.held -= len(self._body)
+        self._body = bytearray()
+        if self._held_long is not None:
+            self._held_long.cancel()
+            self._held_long = None
+
+    def _flush(self) -> None:
+        if self._out and self._sink is not None:
+            data, self._out = bytes(self._out), bytearray()
+            self._sink.pass_on(data)
+
+    def pause(self) -> None:
+        self._kept_back = True
+        self._read_or_not()
+
+    def resume(self) -> None:
+        self._kept_back = False
+        self._moved += 1
+        self._read_or_not()
+
+    def _read_or_not(self) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            if self._kept_back or self._more:
+                self._transport.pause_reading()
+            else:
+                self._transport.resume_reading()
+
+    def _keep_watch(self, moved: int | None = None) -> None:
+        """Give up a server that moves nothing of a long body; that its client is slow is no fault of it."""
+        if self._upload is None and self._sink is None:
+            self._watch = None
+            return
+        waits = self._full if self._upload is not None else not self._kept_back
+        left = self._transport.get_write_buffer_size() if self._transport is not None else 0
+        now = self._moved - left
+        if waits and now == moved:
+            log.info("nothing of a long body moved for %.0f s", STALLED_S)
+            self._finish(None)
+            return
+        if self._watch is not None:
+            self._watch.cancel()
+        self._watch = asyncio.get_running_loop().call_later(
+            STALLED_S, self._keep_watch, now if waits else None
+        )
+
+    @staticmethod
+    def _is_framed(head: h11.Response) -> bool:
+        """Whether the end of the body can be told: by its framing, or where the server says so, by the end.
+
+        An answer that lacks both may have lost its framing on the way.
+        """
+        names = {name for name, _ in head.headers}
+        if names & {b"content-length", b"transfer-encoding"} or head.status_code in (204, 304):
+            return True
+        said = any(n == b"connection" and b"close" in v.lower() for n, v in head.headers)
+        return said or head.http_version < b"1.1"
+
     def _response(self) -> Response | None:
         head = self._head
-        if head is None:
-            return None
-        response = Response(head.status_code, list(head.headers), bytes(self._body))
-        framed = response.header(b"content-length") or response.header(b"transfer-encoding")
-        # An answer that ends with its connection can't be told from one cut short.
-        if framed is None and head.status_code not in (204, 304):
-            log.info("answer of %d bytes without framing", len(response.body))
-            return None
-        return response
+        return None if head is None else Response(head.status_code, list(head.headers), bytes(self._body))
 
     def _finish(self, response: Response | None) -> None:
         ended, self._ended = self._ended, None
-        self._head, self._body = None, bytearray()
+        self._end_bodies(response is not None)
+        self._head = None
         done = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
         if response is None or not done or not self._written or self._h11.trailing_data[0]:
             self.abort()
@@ -176,6 +372,24 @@
         if ended is not None:
             ended(response)
 
+    def _end_bodies(self, whole: bool) -> None:
+        """Be done with what is held or passed on for the request that was under way."""
+        self._drop_upload()
+        self._let_body_go()
+        if self._watch is not None:
+            self._watch.cancel()
+            self._watch = None
+        sink = self._sink
+        if sink is not None:
+            self._flush()
+            self._sink, self._kept_back = None, False
+            self.budget.streams -= 1
+            self._read_or_not()
+            if whole:
+                sink.end_answer()
+            else:
+                sink.break_answer()
+
     def connection_lost(self, exc: Exception | None) -> None:
         ended, self._ended = self._ended, None
         if ended is not None and self.reusable:
@@ -183,6 +397,7 @@
             told = "connection lost under its request number %d, %.1f ms after it was sent: %s"
             log.info(told, self._carried, took * 1000, exc or "it ended")
         self.reusable = False
+        self._end_bodies(False)
         if ended is not None:
             ended(None)
         self.on_lost()
@@ -190,11 +405,12 @@
     def abort(self) -> None:
         """Close at once; what is not written yet never will be."""
         self.reusable = False
+        self._end_bodies(False)
         if self._transport is not None:
             self._transport.abort()
 
 
-async def connect(address: Address, body_most: int) -> Connection:
+async def connect(address: Address, body_most: int, budget: Budget | None = None) -> Connection:
     """Dial; raise OSError where no connection comes up."""
     loop = asyncio.get_running_loop()
     sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
@@ -202,7 +418,8 @@
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         await loop.sock_connect(sock, address)
-        _, connection = await loop.create_connection(partial(Connection, sock, body_most), sock=sock)
+        made = partial(Connection, sock, body_most, budget or Budget())
+        _, connection = await loop.create_connection(made, sock=sock)
     except BaseException:
         sock.close()
         raise
@@ -228,6 +445,8 @@
 
     head: Callable[[float], h11.Request]
     body: bytes = b""
+    upload: Upload | None = None  # in place of the body, where that is long
+    starts: Starts | None = None
 
 
 Ended = Callable[[Outcome, Response | None], None]
@@ -281,7 +500,8 @@
 class Upstream:
     """All connections to servers, within a bound on their number."""
 
-    def __init__(self, dial_limit_s: float, idle_s: float, most: int) -> None:
+    def __init__(self, dial_limit_s: float, idle_s: float, most: int, budget: Budget | None = None) -> None:
+        self._budget = budget or Budget()
         self._dial_limit = dial_limit_s
         self._idle_s = idle_s * (1.0 - _IDLE_MARGIN)
         self._most = most
@@ -337,7 +557,7 @@
         if until <= loop.time():
             exchange.end(Outcome.UNSENT)
             return exchange
-        exchange.timers.append(loop.call_at(until, self._time_up, exchange))
+        self.limit(exchange, until)
         connection = self._take_idle(endpoint)
         if connection is not None:
             self._write(exchange, connection)
@@ -353,6 +573,18 @@
             exchange.end(Outcome.DIAL_FAILED)
         return exchange
 
+    def limit(self, exchange: Exchange, until: float) -> None:
+        """Give an attempt up at this time on the event loop's clock, unless its answer is under way."""
+        exchange.until = until
+        if until < math.inf:
+            exchange.timers.append(asyncio.get_running_loop().call_at(until, self._time_up, exchange))
+
+    def unlimit(self, exchange: Exchange) -> None:
+        """Let an attempt take its time: its answer is under way."""
+        for timer in exchange.timers:
+            timer.cancel()
+        exchange.timers.clear()
+
     def probe(self, name: str, target: str, ended: Ended) -> Exchange:
         """Ask a server how it is."""
         host = ("Host", name)
@@ -413,7 +645,7 @@
         """Dial and write; say whether there is a connection now."""
         endpoint = exchange.endpoint
         try:
-            connection = await connect(endpoint.address, BODY_MOST)
+            connection = await connect(endpoint.address, HELD_WHOLE, self._budget)
         except OSError as fault:
             log.info("no connection to %s: %s", endpoint.name, fault)
             exchange.end(Outcome.DIAL_FAILED)
@@ -438,7 +670,9 @@
         left = exchange.until - asyncio.get_running_loop().time()
         try:
             head = exchange.order.head(max(left, 0.0))
-            connection.request(head, exchange.order.body, partial(self._answered, exchange, connection))
+            order = exchange.order
+            ended = partial(self._answered, exchange, connection)
+            connection.request(head, order.body, ended, order.upload, order.starts)
         except h11.LocalProtocolError:
             log.exception("a request can't be written")  # not a byte of it was
             exchange.end(Outcome.DIAL_FAILED)
