--- a/tests/test_any_sequence.py
+++ b/tests/test_any_sequence.py
@@ -10,10 +10,13 @@
 from hypothesis import strategies as st
 
 from topazbank import Balancer
-from topazbank.interface import AttemptEnded as Ended
 from topazbank.interface import (
+    AnswerStarted,
+    BodyEnded,
     Cancel,
     Event,
+    Exclude,
+    ExclusionAsked,
     Fail,
     ListedServer,
     ListKind,
@@ -30,10 +33,12 @@
     SetTimer,
     TimerFired,
 )
+from topazbank.interface import AttemptEnded as Ended
 
 SERVERS = names(7)
 ZONES = ("east", "west")
 TICK = 5 * MS
+FOREVER = 2**70
 CLASSES = [
     SAFE,
     UNSAFE,
@@ -67,6 +72,7 @@
         self.requests: dict[int, dict[str, Any]] = {}
         self.probes: list[tuple[str, int]] = []
         self.listed: dict[str, ListedServer] = {}
+        self.excluded: frozenset[str] = frozenset()
         self.next = 1
 
     def play(self, event: Event) -> None:
@@ -76,7 +82,10 @@
                     self.sent(action)
                 case Refuse() | Fail():
                     self.answered(action)
+                case Exclude():
+                    self.excluded = action.servers
                 case Cancel():
+                    assert not self.requests[action.request]["attempts"][action.attempt]["started"]
                     assert action.attempt < len(self.requests[action.request]["attempts"])
                 case SetTimer():
                     self.timers.append((self.now + action.in_us, action.token))
@@ -94,6 +103,8 @@
         assert self.now < request["deadline"], "sent after the deadline"
         line = self.listed[action.server]
         assert line.state is ServerState.READY, "sent to a draining or gone server"
+        assert action.server not in self.excluded, "sent to an excluded server"
+        assert not request["spent"], "sent again without its body"
         earlier = request["attempts"]
         assert len(earlier) < self.settings.limits.max_attempts, "more attempts than allowed"
         if not self.settings.limits.second_copies:
@@ -107,13 +118,21 @@
                 assert kind.group.value != "zone" or each["line"].zone == line.zone, "left the zone"
                 assert kind.group.value != "cell" or each["line"].cell == line.cell, "left the cell"
         earlier.append(
-            {"server": action.server, "line": line, "at": self.now, "pending": True, "outcome": None}
+            {
+                "server": action.server,
+                "line": line,
+                "at": self.now,
+                "pending": True,
+                "outcome": None,
+                "started": False,
+            }
         )
 
     def answered(self, action: Refuse | Fail) -> None:
         request = self.requests[action.request]
         assert not request["over"], "two final answers"
         assert self.now < request["deadline"] or request["late"], "answered after the deadline"
+        assert not any(each["started"] for each in request["attempts"]), "answered beside an answer under way"
         if isinstance(action, Refuse) and request["kind"].repeat is not Repeat.SAFE:
             maybe = [
                 each for each in request["attempts"] if each["pending"] or each["outcome"] not in self.proofs
@@ -126,20 +145,49 @@
         out: dict[str, int] = dict.fromkeys(SERVERS, 0)
         for request in self.requests.values():
             for each in request["attempts"]:
-                out[each["server"]] += each["pending"]
+                out[each["server"]] += each["pending"] and not each["started"]
         for name, server in self.balancer._servers.items():
             assert server.in_flight == out[name], "the count of requests in flight is off"
 
-    def arrive(self, name: str, remaining_us: int) -> None:
+    def arrive(self, name: str, remaining_us: int, is_open: bool) -> None:
         number, self.next = self.next, self.next + 1
         self.requests[number] = {
             "kind": self.kinds[name],
-            "deadline": self.now + remaining_us,
+            "deadline": FOREVER if is_open else self.now + remaining_us,
+            "remaining": remaining_us,
+            "spent": False,
             "late": remaining_us <= 2 * TICK,
             "attempts": [],
             "over": False,
         }
-        self.play(RequestArrived(number, name, None, None, remaining_us))
+        self.play(RequestArrived(number, name, None, None, remaining_us, body_open=is_open))
+
+    def end_body(self, choice: int) -> None:
+        waiting = [n for n, r in self.requests.items() if r["deadline"] == FOREVER and not r["over"]]
+        if waiting:
+            number = waiting[choice % len(waiting)]
+            request = self.requests[number]
+            request["deadline"] = self.now + request["remaining"]
+            self.play(BodyEnded(number, request["remaining"]))
+
+    def start(self, choice: int) -> None:
+        """An answer begins: it is the client's, and ends in its own time."""
+        out = [
+            (number, index)
+            for number, request in self.requests.items()
+            for index, each in enumerate(request["attempts"])
+            if each["pending"] and not request["over"]
+        ]
+        if out:
+            number, index = out[choice % len(out)]
+            each = self.requests[number]["attempts"][index]
+            each["started"] = self.requests[number]["over"] = True
+            self.play(AnswerStarted(number, index, each["server"], self.now - each["at"]))
+
+    def exclude(self, server: str, excluded: bool) -> None:
+        self.play(ExclusionAsked(server, excluded))
+        if server in self.listed:
+            assert (server in self.excluded) is excluded, "an order was not followed"
 
     def end(self, choice: int, outcome: Outcome) -> None:
         out = [
@@ -153,11 +201,16 @@
 
     def end_one(self, number: int, index: int, outcome: Outcome) -> None:
         request = self.requests[number]
+        if request["deadline"] == FOREVER:
+            if outcome is Outcome.DELIVERED:
+                return  # no server answers before it has the whole request
+            request["spent"] = True
         each = request["attempts"][index]
         each["pending"], each["outcome"] = False, outcome
         if outcome is Outcome.DELIVERED:
             request["over"] = True
-        self.play(Ended(number, index, each["server"], outcome, self.now - each["at"], request["over"]))
+        took, spent = self.now - each["at"], request["spent"]
+        self.play(Ended(number, index, each["server"], outcome, took, request["over"], None, spent))
 
     def probed(self, outcome: Outcome, held: float | None) -> None:
         if self.probes:
@@ -210,10 +263,14 @@
     st.just("arrive"),
     st.sampled_from([str(each["name"]) for each in CLASSES]),
     st.integers(1, 2_500).map(lambda ms: ms * MS),
+    st.sampled_from([False, False, False, True]),
 )
 steps = st.one_of(
     arrivals,
     arrivals,
+    st.tuples(st.just("end body"), st.integers(0, 50)),
+    st.tuples(st.just("start"), st.integers(0, 50)),
+    st.tuples(st.just("exclude"), st.sampled_from(SERVERS), st.booleans()),
     st.tuples(st.just("end"), st.integers(0, 50), st.sampled_from(list(Outcome))),
     st.tuples(st.just("end"), st.integers(0, 50), st.just(Outcome.DELIVERED)),
     st.tuples(
@@ -253,8 +310,14 @@
     referee.list(ListKind.REMEMBERED, ready)
     for step in script:
         match step:
-            case ("arrive", name, remaining):
-                referee.arrive(name, remaining)
+            case ("arrive", name, remaining, is_open):
+                referee.arrive(name, remaining, is_open)
+            case ("end body", choice):
+                referee.end_body(choice)
+            case ("start", choice):
+                referee.start(choice)
+            case ("exclude", server, excluded):
+                referee.exclude(server, excluded)
             case ("end", choice, outcome):
                 referee.end(choice, outcome)
             case ("probed", outcome, held):
