--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,7 +8,9 @@
 from helpers import MS, START, S, Stage, names, settings
 
 from topazbank.interface import (
+    AnswerStarted,
     AttemptEnded,
+    BodyEnded,
     Cancel,
     Fail,
     FetchList,
@@ -17,6 +19,7 @@
     ListKind,
     Outcome,
     Refuse,
+    RequestArrived,
     RequestGone,
     ServersListed,
     ServerState,
@@ -417,3 +420,64 @@
         stage.end(request, Outcome.FULL)
         assert len(stage.sends(request)) == 3
         assert [each.request for each in stage.said(Fail)] == [request]
+
+
+# Long bodies
+
+
+def test_an_answer_under_way_is_not_ended_by_the_deadline_and_calls_the_other_copy_off() -> None:
+    stage = Stage()
+    stage.servers(names(4))
+    request = stage.request()
+    live = stage.balancer._requests[request]
+    server = next(each for each in stage.balancer._servers.values() if each is not live.attempts[0].server)
+    assert stage.balancer._send(live, server)
+    stage.play(AnswerStarted(request, 1, server.name, 30 * MS))
+    assert [(each.request, each.attempt) for each in stage.said(Cancel)] == [(request, 0)]
+    stage.end(request, Outcome.CANCELLED, attempt=0, answered=True)
+    stage.wait(10 * S)
+    assert not stage.said(Refuse) and not stage.said(Fail)
+    stage.play(AttemptEnded(request, 1, server.name, Outcome.DROPPED, 30 * MS, True))
+    assert len(live.attempts) == 2 and request not in stage.balancer._requests
+
+
+def test_an_answer_under_way_is_no_load_and_its_length_is_no_slowness() -> None:
+    stage = Stage()
+    stage.servers(names(3))
+    stage.serve(60)
+    spent = stage.balancer._spent
+    for _ in range(20):
+        request = stage.request()
+        stage.wait(50 * MS)
+        stage.play(AnswerStarted(request, 0, stage.target(request), 50 * MS))
+    assert stage.balancer._load() == 0
+    assert all(each.in_flight == 0 for each in stage.balancer._servers.values())
+    stage.wait(30 * S)
+    for request in list(stage.balancer._requests):
+        target = stage.target(request)
+        stage.play(AttemptEnded(request, 0, target, Outcome.DELIVERED, 50 * MS, True))
+    assert stage.balancer._spent <= spent + 0.05 and not stage.balancer._requests
+
+
+def test_while_its_body_comes_a_request_has_all_the_time_and_then_its_own() -> None:
+    stage = Stage()
+    stage.servers(names(3))
+    number = 77
+    stage.play(RequestArrived(number, "pay", None, None, 1 * S, body_open=True))
+    stage.wait(60 * S)
+    assert not stage.said(Refuse) and not stage.said(Fail) and not stage.balancer._ejected
+    stage.play(BodyEnded(number, 1 * S))
+    ended = stage.now
+    stage.wait(2 * S)
+    assert [each.request for each in stage.said(Fail)] == [number]
+    assert ended < next(at for at, each in stage.log if isinstance(each, Fail)) <= ended + 1 * S
+
+
+@pytest.mark.parametrize("outcome", [Outcome.FULL, Outcome.DIAL_FAILED])
+def test_a_request_whose_body_is_spent_is_refused_and_not_sent_again(outcome: Outcome) -> None:
+    stage = Stage()
+    stage.servers(names(3))
+    stage.play(RequestArrived(77, "pay", None, None, 1 * S, body_open=True))
+    stage.wait(20 * MS)
+    stage.play(AttemptEnded(77, 0, stage.target(77), outcome, 20 * MS, False, None, spent=True))
+    assert len(stage.sends(77)) == 1 and [each.request for each in stage.said(Refuse)] == [77]
