End a connection at once after its last answer, without lingering

Only requests that were not read to their end are lingered for; there the request had come whole.

At fault: ClientConnection._answered asked h11 for the client's state after the answer was written. An answer with Connection: close turns DONE into MUST_CLOSE, so each connection a drain ended was held a second longer, and so was each whose client asked for its end, since long before. The end of a connection that its client has ended is no error any more. Also: a no to GET /api/ready is not logged; who waits for a start asks 30 times a second, and the log's 50 lines a second were used up by it.

--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -10,6 +10,7 @@
 from loopback import World, answer, ask, is_closed, play, read_answer, request, until, world
 
 from topazbank.net import admin, frontend
+from topazbank.net.frontend import ClientConnection
 from topazbank.net.orders import Orders
 
 
@@ -223,6 +224,28 @@
     play(scene())
 
 
+@pytest.mark.parametrize("data", [request(), request(Connection="close")], ids=["drain", "client"])
+def test_an_answer_that_ends_its_connection_ends_it_at_once(
+    data: bytes, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards descriptors and drains: only what was not read to its end is lingered for.
+    lingered: list[object] = []
+    monkeypatch.setattr(ClientConnection, "_linger", lambda self: (lingered.append(self), self.close()))
+
+    async def scene() -> None:
+        async with world(served, orders=tmp_path) as w:
+            if data == request():
+                assert await call(w, "PUT", "/api/evacuate") == 200
+            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            writer.write(data)
+            assert (await read_answer(reader))[1]["connection"] == "close"
+            await until(lambda: not w.sidecar.frontend.connections)
+            assert not lingered
+            writer.close()
+
+    play(scene())
+
+
 def test_a_connection_that_comes_to_rest_during_a_drain_is_closed(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/topazbank/net/admin.py
+++ b/topazbank/net/admin.py
@@ -87,7 +87,8 @@
                 raise Declined(405, f"{needed} is needed")
             operation(ident)
         except Declined as no:
-            log.info("operators: %s %.100s: no, %s", method, target, no)
+            if method != "GET":  # who waits for a start asks many times a second
+                log.info("operators: %s %.100s: no, %s", method, target, no)
             return no.status, str(no)
         except Exception:
             log.exception("the call %s %.100s failed", method, target)  # a defect; the door goes on
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -476,16 +476,20 @@
         self._answered()
 
     def _response(self, status: int, headers: Headers) -> h11.Response:
-        if self._frontend.draining or self._h11.their_state is not h11.DONE:
+        if self._frontend.draining or not self._came_whole():
             headers.append((b"Connection", b"close"))
         return h11.Response(status_code=status, headers=headers, reason=_REASONS.get(status, b""))
 
+    def _came_whole(self) -> bool:
+        """Whether the request was read to its end; its connection may be about to end all the same."""
+        return self._h11.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+
     def _answered(self) -> None:
         """An answer is written to its end: on to the next request, or to the end of the connection."""
         self._head = None
         self._let_body_go()
         self._end_upload()
-        if self._h11.their_state is not h11.DONE:
+        if not self._came_whole():
             self._linger()
         elif self._h11.our_state is not h11.DONE:
             self.close()
@@ -530,7 +534,8 @@
             loop = asyncio.get_running_loop()
             self._lingering_until = loop.time() + _LINGER_MOST_S
             self._transport.resume_reading()
-            self._transport.write_eof()
+            with contextlib.suppress(OSError):  # the client has ended it meanwhile
+                self._transport.write_eof()
             self._linger_on()
 
     def _linger_on(self) -> None:
