Take an included server for cold from the restart that the list told of

The ban forgets how cold the server was before it; a start that the list tells meanwhile counts, and without one it is cold from the call back on. Room made: the dispatch of events is a table.

--- a/tests/test_exclusions.py
+++ b/tests/test_exclusions.py
@@ -87,6 +87,22 @@
         assert SERVERS[0] in targets(stage), seed  # 1.6 s of fifty requests a second
 
 
+@pytest.mark.parametrize(("told", "waited_s"), [(False, 10), (True, 5)])
+def test_after_its_ban_a_server_is_cold_from_its_told_restart_or_else_from_now(
+    told: bool, waited_s: int
+) -> None:
+    stage = stage_of()
+    stage.servers([ListedServer(SERVERS[0], "east", started_at=stage.now - 1 * S)], ListKind.CHANGES)
+    ask(stage, SERVERS[0], True)
+    if told:
+        stage.servers([ListedServer(SERVERS[0], "east", started_at=stage.now)], ListKind.CHANGES)
+    stage.wait(5 * S)
+    ask(stage, SERVERS[0], False)
+    server = stage.balancer._servers[SERVERS[0]]
+    assert server.cold_since is not None
+    assert server.cold_since + 10 * S == stage.now + waited_s * S
+
+
 def test_after_the_ban_a_server_is_as_the_list_says() -> None:
     stage = stage_of()
     ask(stage, SERVERS[0], True)
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -230,7 +230,12 @@
 ) -> None:
     # Guards descriptors and drains: only what was not read to its end is lingered for.
     lingered: list[object] = []
-    monkeypatch.setattr(ClientConnection, "_linger", lambda self: (lingered.append(self), self.close()))
+
+    def linger(connection: ClientConnection) -> None:
+        lingered.append(connection)
+        connection.close()
+
+    monkeypatch.setattr(ClientConnection, "_linger", linger)
 
     async def scene() -> None:
         async with world(served, orders=tmp_path) as w:
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -13,8 +13,9 @@
 import itertools
 import math
 import random
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from typing import Any
 
 from topazbank.interface import (
     Action,
@@ -286,6 +287,18 @@
         self._load_at = 0
         self._sized_at = 0
         self._mix: dict[tuple[str, str | None], Mix] = {}
+        self._plays: dict[type[Any], Callable[[Any], None]] = {  # no messages are sent, so none are awaited
+            AttemptEnded: self._attempt_ended,
+            RequestArrived: self._request_arrived,
+            TimerFired: lambda _: self._timer_fired(),
+            ServersListed: self._servers_listed,
+            RequestGone: self._request_gone,
+            AnswerStarted: self._answer_started,
+            BodyEnded: self._body_ended,
+            ProbeEnded: self._probe_ended,
+            ExclusionAsked: self._exclusion_asked,
+            ExclusionsHeard: lambda event: self._exclude(frozenset(event.servers)),
+        }
 
     def handle(self, now: int, event: Event) -> list[Action]:
         """Take one event at clock time `now`; return what to do, in order."""
@@ -296,27 +309,8 @@
         if not self._begun:
             self._begun = True
             self._ask_in(self._ask_spread() * self._stagger.random())
-        match event:  # messages: none are sent, so none are awaited
-            case AttemptEnded():
-                self._attempt_ended(event)
-            case RequestArrived():
-                self._request_arrived(event)
-            case TimerFired():
-                self._timer_fired()
-            case ServersListed():
-                self._servers_listed(event)
-            case RequestGone():
-                self._request_gone(event)
-            case AnswerStarted():
-                self._answer_started(event)
-            case BodyEnded():
-                self._body_ended(event)
-            case ProbeEnded():
-                self._probe_ended(event)
-            case ExclusionAsked():
-                self._exclusion_asked(event)
-            case ExclusionsHeard():
-                self._exclude(frozenset(event.servers))
+        if play := self._plays.get(type(event)):
+            play(event)
         self._keep_beat()
         self._arm_timer()
         return self._actions
@@ -437,7 +431,7 @@
             server.started_at = line.started_at
             self._turned_cold(server, line.started_at)
             if server.ejected_until is not None and line.state is ServerState.READY:
-                self._readmit(server)  # a new process: what the old one did is history
+                self._readmit(server)  # what the old process did is history
 
     # -- The operators' exclusions, over what the list says -------------------------------------------
 
@@ -448,12 +442,18 @@
             self._exclude(self._excluded | asked if event.excluded else self._excluded - asked)
 
     def _exclude(self, names: frozenset[str]) -> None:
-        """Leave out just these servers.  One that is used again was restarted meanwhile: it is cold."""
+        """Leave out just these servers.  One that is used again was restarted meanwhile: it is cold.
+
+        It is so from the start that the list told of since, or else from now on: the list may be late.
+        """
         back, self._excluded = self._excluded - names, names
         for server in self._servers.values():
+            if server.name in names and not server.excluded:
+                server.cold_since = None
             server.excluded = server.name in names
             if server.name in back:
-                self._turned_cold(server, self._now)
+                if not self._is_cold(server):
+                    self._turned_cold(server, self._now)
                 if server.ejected_until is not None:
                     self._readmit(server)
         self._take_stock()
