Keep a slow answer of unknown length back for 0.1 s, not 1 s

A probe at the expiry: 9 had heard nothing, all others a chunked answer with 45 to 64 KB of its body. Long answers of unknown length come at some 64 kB a second; they were held until 64 KiB or their time-out, though only their first bytes are timed.

Ruled out: slow servers (aim spent 0.04 to 0.12), the window (inf), the event loop (never 50 ms late). At fault: _HELD_LONG_S in net/upstream.py. Not taken: passing such answers on from the first byte; short ones are chunked too and could then never be asked for again.

--- a/topazbank/net/upstream.py
+++ b/topazbank/net/upstream.py
@@ -35,7 +35,8 @@
 Headers = list[tuple[bytes, bytes]]
 
 _NOWHERE: Address = ("127.0.0.1", 0)  # of a server that takes nothing new anyway
-_HELD_LONG_S = 1.0  # how long the beginning of an answer is kept back whose length is not told
+# How long the beginning of an answer is kept back whose length is not told: it may be a long one.
+_HELD_LONG_S = 0.1
 _IDLE_MARGIN = 0.1  # an idle connection is closed this part of its time before the server would
 _PROBE_DIALS = 4.0  # a probe may take this many dial time limits
 _HOP_BY_HOP = frozenset(
