--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -71,9 +71,7 @@
 TRICKLE = 0.01  # part let in where probes tell of overload: what they foretell must stay checked
 PROBE_STEP = 0.1  # the usual probe time follows the last ten or so
 TICKS_EARLY = 2  # a final answer leaves this many ticks before the client's time is up
-COLD_SHARE = (
-    1 / 3
-)  # part of the pushing-over load at which a cold budget fills: of a multiple of 3, all it bears
+COLD_SHARE = 1 / 3  # part of the pushing-over load at which a cold budget fills: usually its least capacity
 COLD_BURST = 0.18  # part of that load that may come at once
 RATE_SPANS = 2.0  # rates are averaged over this many fall times
 OPEN_UNTIL = 2**62  # no time is up while a body is still coming: how slowly it may come is net/'s to bound
