Size no window before a balancer has been there for its longest aim

Ruled out: the old process (it drained in 0.42 s, 2 requests sent again by clients), overload (aim spent 0.19; the same servers take 330 a second before and after). At fault: _size_window. A young balancer's load is averaged from nothing over up to four times the longest aim, so it counts as one with few requests, whose steps are four times as large; a few answers that its own start made late shut the window. Not taken: averaging the load over its age.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -202,7 +202,7 @@
         config = replace(config, orders=orders, mgmt=("127.0.0.1", 0))
     made = World(Sidecar(config), servers, discovery)
     running = asyncio.create_task(made.sidecar.run(made.stop))
-    await until(lambda: made.sidecar._balancer._begun)
+    await until(lambda: made.sidecar._balancer._begun >= 0)
     try:
         yield made
     finally:
--- a/tests/test_draw.py
+++ b/tests/test_draw.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 
 import pytest
-from helpers import MS, S, Stage, names, settings
+from helpers import MS, SAFE, UNSAFE, S, Stage, names, settings
 
 from topazbank.balancer import Server
 from topazbank.interface import (
@@ -760,3 +761,31 @@
         stage.wait(200 * MS)
         stage.end(request, Outcome.DROPPED)
     assert stage.said(Refuse) == [] and len(stage.said(Fail)) == 12
+
+
+def test_a_process_that_has_just_started_is_not_shut_by_its_first_late_answers() -> None:
+    # At an upgrade the new process starts amid full traffic, and its own start makes the first answers late.
+    slow = {**UNSAFE, "deadline_us": 4 * S, "aim_us": 2 * S}
+    stage = Stage(settings(classes=[SAFE, slow]))
+    stage.servers(names(8))
+    assert late_answers(stage, 1 * S) and not stage.said(Refuse)
+    assert stage.balancer._window == math.inf
+    late_answers(stage, 4 * S)
+    assert stage.balancer._window < math.inf  # later on they tell of overload
+
+
+def late_answers(stage: Stage, span_us: int) -> int:
+    """Steady traffic, each request of it answered too late; gives how many."""
+    until, out, done = stage.now + span_us, [], 0
+    while stage.now < until:
+        out.append((stage.now + 600 * MS, stage.request()))
+        stage.wait(5 * MS)
+        while out and out[0][0] <= stage.now:
+            request = out.pop(0)[1]
+            if stage.sends(request):
+                stage.end(request)
+                done += 1
+    for _, request in out:
+        if stage.sends(request):
+            stage.end(request)
+    return done
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -124,6 +124,7 @@
 MEDIAN_STEP = 0.04  # step of the running median: some 25 answers turn it round
 LOST_SPENT = 2.0  # what a full answer counts as, in aims: it would have been late by far
 WINDOW_AIMS = 0.5  # at twice the level the window shrinks e-fold in this many of the longest aim
+YOUNG_AIMS = 1.0  # how many of the longest aim must have passed before the window is first sized
 MIX_AIMS = 4.0  # what is asked by class and tenant is averaged over this many of the longest aim
 FREE = 0.5  # up to this part of the window all are let in, and the window does not grow
 STEEP = 4.0  # pressure at a full window: of the typical requests one in fifty is let in
@@ -255,7 +256,7 @@
         self._beat_due = 0  # when the next beat falls due, while anything is out
         self._back_at = -1  # when this balancer last came back from a stall of its own
         self._absent_us = 0  # how long it has stalled, over all its stalls
-        self._begun = False
+        self._begun = -1  # when the first event came
         self._failed_calls = 0
         self._ask_due: int | None = None  # when discovery is asked next; None while the list is followed
         self._pending = 0  # attempts out
@@ -263,10 +264,9 @@
         self._ghosts: list[int] = []  # when each attempt given up on stops counting, soonest first
         self._ejected: list[Server] = []
         self._remote = 1.0  # odds of a server in another zone, as of _remote_at
-        self._remote_at = -1
         self._bearable = 0.0  # what a warm server of mean size serves for this balancer, as of _bearable_at
         self._mean_size = 1.0
-        self._bearable_at = -1
+        self._bearable_at = self._remote_at = -1
         self._answers = 0  # answers so far, from all servers
         self._extra = EXTRA_PER_REQUEST * EXTRA_SAVED / 2
         self._longest_try: dict[str, int] = {}  # the most time left that a request of a class came with
@@ -284,8 +284,7 @@
         self._in_time, self._too_late, self._shed = Rate(span), Rate(span), Rate(span)
         self._bound = False  # whether the window refused anything since it was last sized
         self._mean_load = 0.0  # own requests in flight, averaged
-        self._load_at = 0
-        self._sized_at = 0
+        self._load_at = self._sized_at = 0
         self._mix: dict[tuple[str, str | None], Mix] = {}
         self._plays: dict[type[Any], Callable[[Any], None]] = {  # no messages are sent, so none are awaited
             AttemptEnded: self._attempt_ended,
@@ -306,8 +305,8 @@
         self._actions = []
         self._follow_load()
         self._notice_stall()
-        if not self._begun:
-            self._begun = True
+        if self._begun < 0:
+            self._begun = now
             self._ask_in(self._ask_spread() * self._stagger.random())
         if play := self._plays.get(type(event)):
             play(event)
@@ -425,8 +424,7 @@
         server.zone, server.cell = line.zone, line.cell
         if server.state is ServerState.GONE or line.nominal != server.nominal:
             server.pace = 0.0  # to be set by its nominal size
-        server.nominal = max(line.nominal, 0.0)
-        server.state = line.state
+        server.nominal, server.state = max(line.nominal, 0.0), line.state
         if line.started_at is not None and line.started_at != server.started_at:
             server.started_at = line.started_at
             self._turned_cold(server, line.started_at)
@@ -584,6 +582,8 @@
         let in less by themselves.  By Little's law, what is answered at this rate within the allowed level
         needs rate times time in flight; below that the window never shrinks, or late news would shut it.
         """
+        if self._now - self._begun < YOUNG_AIMS * self._longest_aim:
+            return  # its load is averaged from nothing, and a few late answers would shut it out of the fleet
         stretch = self._stretch()
         lapse = min(self._now - self._sized_at, stretch * self._longest_aim / 4)
         self._sized_at = self._now
