Use a server back from its exclusion with the next request that it may take

Ruled out: the call (yes within 1 ms), the list (it named the server from 8.95 s on), the allowance (0.4 to 1 of a request a second at n1). With next to nothing in flight all counts are zero, the pace breaks the tie, and a cold server slower than the rest is drawn seldom and wins never. At fault: _choose. Such a server is now taken by the next request that its allowance has room for. Not taken: a longer list of trials as for ejected ones; those wait for a class that is safe to repeat, and a site may have none.

--- a/tests/test_exclusions.py
+++ b/tests/test_exclusions.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from helpers import S, Stage, names, settings
+from helpers import MS, S, Stage, names, settings
 
 from topazbank.interface import (
     Exclude,
@@ -103,6 +103,27 @@
     assert server.cold_since + 10 * S == stage.now + waited_s * S
 
 
+def test_a_server_back_from_its_ban_is_used_at_once_where_requests_are_few_and_others_quicker() -> None:
+    for seed in range(10):
+        stage = Stage(seed=seed)
+        stage.servers(names(8))
+        stage.serve(60)
+        server = stage.balancer._servers[SERVERS[0]]
+        server.pace = 3.0
+        ask(stage, server.name, True)
+        stage.wait(1 * S)
+        ask(stage, server.name, False)
+        before = len(stage.log)
+        for _ in range(100):  # one at a time: all servers are empty, and the quicker ones win the draw
+            stage.wait(50 * MS)
+            request = stage.request()
+            stage.wait(20 * MS)
+            stage.end(request)
+        sent = [each.server for _, each in stage.log[before:] if isinstance(each, Send)]
+        assert server.name in sent, seed
+        assert server not in stage.balancer._back
+
+
 def test_after_the_ban_a_server_is_as_the_list_says() -> None:
     stage = stage_of()
     ask(stage, SERVERS[0], True)
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -197,7 +197,7 @@
     cost: float  # relative to the mean of its class
     flow: Flow
     spread: bool  # whether it is drawn over all zones
-    size: int = 0  # cost by powers of two
+    size: int  # cost by powers of two
     attempts: list[Attempt] = field(default_factory=list)
     tried: list[Server] = field(default_factory=list)  # servers that failed it, full ones included
     said_full: int = 0
@@ -207,9 +207,6 @@
     standing: float = 0.5  # the part of the traffic that is worth less
     spent: bool = False  # its body is no longer held whole: it can't be sent again
 
-    def __post_init__(self) -> None:
-        self.size = max(-3, min(math.frexp(self.cost)[1], 4))
-
     def is_out(self) -> bool:
         """Whether an attempt has not ended yet."""
         return any(each.pending for each in self.attempts)
@@ -235,6 +232,7 @@
         self._numbered: dict[int, Server] = {}  # by number
         self._numbers = itertools.count()
         self._excluded: frozenset[str] = frozenset()  # what the operators have left out, listed or not
+        self._back: dict[Server, None] = {}  # servers back from their exclusion and not used since
         self._left: dict[str, None] = {}  # names that were listed once, the last to leave at the end
         self._ready: list[Server] = []
         self._near: list[Server] = []  # of these, the ones in the own zone
@@ -385,9 +383,8 @@
             self._ask_due = None
         if event.kind is not ListKind.CHANGES:
             listed = {line.server for line in event.servers}
-            for server in self._servers.values():
-                if server.name not in listed:
-                    server.state = ServerState.GONE
+            for name in self._servers.keys() - listed:
+                self._servers[name].state = ServerState.GONE
         for line in event.servers:
             self._server_listed(line)
         self._take_stock()
@@ -412,6 +409,7 @@
                 self._left[each.name] = None
                 if len(self._left) > LEFT_KNOWN:
                     del self._left[next(iter(self._left))]
+                self._back.pop(each, None)
                 if each in self._ejected:
                     self._ejected.remove(each)
 
@@ -436,7 +434,7 @@
     def _exclusion_asked(self, event: ExclusionAsked) -> None:
         """Leave a server out or use it again; a name that was never listed is passed over in silence."""
         if event.server in self._servers or event.server in self._left or event.server in self._excluded:
-            asked = frozenset((event.server,))
+            asked = {event.server}
             self._exclude(self._excluded | asked if event.excluded else self._excluded - asked)
 
     def _exclude(self, names: frozenset[str]) -> None:
@@ -450,6 +448,7 @@
                 server.cold_since = None
             server.excluded = server.name in names
             if server.name in back:
+                self._back[server] = None
                 if not self._is_cold(server):
                     self._turned_cold(server, self._now)
                 if server.ejected_until is not None:
@@ -469,7 +468,8 @@
         self._extra = min(self._extra + EXTRA_PER_REQUEST, EXTRA_PER_REQUEST * EXTRA_SAVED)
         cost = self._relative_cost(kind, event.cost_us)
         flow = (kind.name, event.tenant)
-        request = Request(event.request, kind, OPEN_UNTIL, cost, flow, not self._near_first)
+        size = max(-3, min(math.frexp(cost)[1], 4))
+        request = Request(event.request, kind, OPEN_UNTIL, cost, flow, not self._near_first, size)
         self._requests[event.request] = request
         if not event.body_open:
             self._start_clock(request, event.remaining_us)
@@ -483,8 +483,7 @@
 
         A try starts with the same time at all clients, more or less: what is missing of it was waited.
         """
-        longest = max(self._longest_try.get(kind.name, 0), remaining_us)
-        self._longest_try[kind.name] = longest
+        longest = self._longest_try[kind.name] = max(self._longest_try.get(kind.name, 0), remaining_us)
         return self._now == self._back_at and kind.late_worth <= 0.0 and longest - remaining_us >= kind.aim_us
 
     def _relative_cost(self, kind: ServiceClass, cost_us: int | None) -> float:
@@ -714,9 +713,8 @@
         odds = [self._odds(each, power) * (1.0 if each.zone == here else away) for each in pool]
         drawn = self._drawn(pool, odds, DRAWN << request.said_full)
         best = min(drawn, key=lambda each: (self._busy(each), each.pace))
-        if self._probes > 1 and self._now != self._back_at:  # others that stalled with it would hear the same
-            return best, sorted(drawn, key=self._busy)[: self._probes]
-        return best, []
+        asks = self._probes > 1 and self._now != self._back_at  # others that stalled too would hear the same
+        return best, sorted(drawn, key=self._busy)[: self._probes] if asks else []
 
     def _within_reach(self, servers: list[Server], request: Request) -> list[Server]:
         """The first eligible servers in this balancer's own order, as many as its traffic can know.
@@ -725,8 +723,7 @@
         server, more than servers accept, and learn next to nothing of any.  A busy balancer reaches all.
         """
         reach = self._reach()
-        pool: list[Server] = []
-        shut: list[Server] = []
+        pool, shut = list[Server](), list[Server]()
         for each in servers:
             if self._eligible(each, request):
                 away = each.turned_away.get(request.flow)
@@ -828,8 +825,7 @@
         server = self._servers.get(event.server)
         if server is None:
             return
-        server.probed_at = None
-        server.reported = None
+        server.probed_at = server.reported = None
         if event.outcome is Outcome.DELIVERED:
             usual = self._probe_time if self._probe_time is not None else float(event.elapsed_us)
             self._probe_time = usual + PROBE_STEP * (event.elapsed_us - usual)
@@ -1164,7 +1160,14 @@
         self._actions.append(Log(f"readmitted {server.name}"))
 
     def _trial_due(self, request: Request) -> Server | None:
-        """An ejected server comes back by one trial at a time, with a request that may be repeated."""
+        """An ejected server comes back by one trial at a time, with a request that may be repeated.
+
+        One back from its exclusion is used by the next: its odds are poor where requests are few.
+        """
+        for server in self._back:
+            if server.is_ready() and self._eligible(server, request):
+                del self._back[server]
+                return server
         if request.kind.repeat is not Repeat.SAFE or request.attempts:
             return None
         for server in self._ejected:
@@ -1177,8 +1180,7 @@
 
     def _turned_cold(self, server: Server, since: int) -> None:
         server.cold_since = since
-        server.allowance = self._stagger.random()
-        server.allowance_at = self._now
+        server.allowance, server.allowance_at = self._stagger.random(), self._now
 
     def _is_cold(self, server: Server) -> bool:
         return server.cold_since is not None and self._now < server.cold_since + self._settings.rules.cold_us
@@ -1336,8 +1338,7 @@
 
     def __init__(self, span_us: float) -> None:
         self._span_us = span_us
-        self._count = 0.0
-        self._at = 0
+        self._count, self._at = 0.0, 0
 
     def over(self, span_us: float) -> None:
         """Average over another span from now on."""
