--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -279,12 +279,14 @@
             kept_writer.write(request())
             assert (await read_answer(kept))[0] == 200
             held, held_writer = await asyncio.open_connection(*listen)
-            held_writer.write(request("pay", path="/api/held", body=b"x", budget="3"))
-            await until(lambda: any("held" in first for first, *_ in server.requests + banned.requests))
+            held_writer.write(request())
+            assert (await read_answer(held))[0] == 200
             exclude = b"PUT /api/exclude/s-1 HTTP/1.1\r\nHost: ops\r\n\r\n"
             assert (await ask(doors[0], exclude))[0] == 200
 
             new = await start(doors[1])
+            held_writer.write(request("pay", path="/api/held", body=b"x", budget="3"))
+            await until(lambda: any("held" in first for first, *_ in server.requests + banned.requests))
             old.send_signal(signal.SIGTERM)
             assert await is_closed(kept)
             for writer in server.writers + banned.writers:
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 
@@ -91,12 +92,13 @@
         async with streaming(script) as (w, _):
             heard = w.hear()
             reader, writer = await dial(w)
-            writer.write(request(budget="0.2"))
+            writer.write(request())
             assert f"content-length: {len(LONG)}" in await read_head(reader)
             got = await reader.readexactly(300_000)
-            loop = asyncio.get_running_loop()
-            over = loop.time() + 0.25
-            await until(lambda: loop.time() > over)  # its time is up
+            live = next(iter(w.sidecar._live.values()))
+            attempt = live.out[0]
+            assert attempt is not None and not attempt.timers  # nothing would end it any more
+            assert live.backstop is not None and live.backstop.cancelled()
             more.set()
             got += await asyncio.wait_for(reader.readexactly(len(LONG) - 300_000), PATIENCE_S)
             assert got == LONG
@@ -363,14 +365,16 @@
     async def scene() -> None:
         async with streaming(served_upload) as (w, _):
             reader, writer = await dial(w)
-            data = request("pay", body=LONG, budget="0.3")
+            data = request("pay", body=LONG)
             writer.write(data[:-1])
-            await until(lambda: w.sidecar._upstream._budget.streams == 1)
-            loop = asyncio.get_running_loop()
-            over = loop.time() + 0.35
-            await until(lambda: loop.time() > over)
+            await until(lambda: w.sidecar._live and next(iter(w.sidecar._live.values())).out.get(0))
+            live = next(iter(w.sidecar._live.values()))
+            attempt = live.out[0]
+            assert attempt is not None and attempt.until == math.inf
+            assert live.answer_by is None and live.backstop is None
             writer.write(data[-1:])
             assert "200 ok" in await read_head(reader)
+            assert live.answer_by is not None and attempt.until < math.inf
             writer.close()
 
     play(scene())
