--- a/tests/test_exclusions.py
+++ b/tests/test_exclusions.py
@@ -172,3 +172,37 @@
     stage.servers([])
     assert len(stage.balancer._left) == 20 and not stage.balancer._servers
     assert ask(stage, f"9-{SERVERS[0]}", True)
+
+
+def test_both_processes_of_an_upgrade_together_send_a_cold_server_no_more_than_one_would() -> None:
+    def sent_to_cold(stages: list[Stage]) -> int:
+        """Ten seconds of a hundred requests a second, dealt out in turn; one of four servers is cold."""
+        until, count = stages[0].now + 10 * S, 0
+        out: list[tuple[Stage, int]] = []
+        cold = ListedServer("cold", zone="east", started_at=stages[0].now)
+        for stage in stages:
+            stage.servers([cold], ListKind.CHANGES)
+        while stages[0].now < until:
+            for turn in stages:
+                request = turn.request()
+                count += bool(turn.sends(request)) and turn.target(request) == "cold"
+                for stage in stages:
+                    stage.wait(10 * MS)
+                out.append((turn, request))
+                if len(out) > 8:  # so many are in flight at any time
+                    which, done = out.pop(0)
+                    if which.sends(done):
+                        which.end(done)
+        return count
+
+    def served(seed: int) -> Stage:
+        stage = Stage(seed=seed)
+        stage.servers(SERVERS)
+        stage.serve(300, every_us=10 * MS)
+        return stage
+
+    for seed in range(5):
+        alone = sent_to_cold([served(seed)])
+        old, new = served(seed), Stage(seed=seed + 100, now=served(seed).now)
+        new.servers(SERVERS)
+        assert 0 < sent_to_cold([old, new]) <= 1.15 * alone, seed
