Run the peer plane in the sidecar when told, with a multi-process fault harness

Change: peers/transport.py binds peer_listen and takes datagrams only from addresses in peers; the config's peer_plane object ({"on": true, knobs in ms}) turns it on, unknown keys or wrong types end the start with one line.

--- /dev/null
+++ b/tests/cluster/test_peer_plane.py
@@ -0,0 +1,86 @@
+"""The peer plane across sidecar processes, with faults between them (docs/peers.md)."""
+
+from __future__ import annotations
+
+import signal
+import socket
+from pathlib import Path
+
+from harness import Tier, play, tier
+
+
+async def all_alive(made: Tier) -> bool:
+    for number in made.processes:
+        told = await made.members(number)
+        if told is None or any(status != "alive" for status, _ in told["members"].values()):
+            return False
+    return True
+
+
+def test_a_killed_sidecar_is_found_dead_and_outbids_its_death_on_restart(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with tier(4, tmp_path) as made:
+            await made.until(lambda: all_alive(made))
+            await made.kill(2)
+            await made.until(lambda: _holds(made, 2, {"dead"}))
+            await made.start(2)
+            await made.until(lambda: all_alive(made))
+            told = await made.members(2)
+            assert told is not None and told["incarnation"] > 0  # it refuted what was said of its old life
+
+    play(scene())
+
+
+def test_a_healed_partition_joins_again_under_loss_and_duplicates(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with tier(4, tmp_path, seed=3) as made:
+            made.faults.loss, made.faults.duplicate, made.faults.delay_ms = 0.1, 0.1, (0, 20)
+            await made.until(lambda: all_alive(made))
+            made.faults.cut = {frozenset((a, b)) for a in (0, 1) for b in (2, 3)}
+            await made.until(lambda: _holds(made, 3, {"dead"}, among=(0, 1)))
+            made.faults.cut = set()
+            await made.until(lambda: all_alive(made))
+
+    play(scene())
+
+
+def test_garbage_and_strangers_are_dropped_and_counted(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with tier(3, tmp_path, seed=5) as made:
+            await made.until(lambda: all_alive(made))
+            made.faults.corrupt = 0.5
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
+                for size in (0, 1, 255, 1400):
+                    stranger.sendto(b"\x95" * size, made.listens[0])
+            await made.until(lambda: _dropped(made, 0, "address", 4))
+            await made.until(lambda: _dropped(made, 0, "malformed", 1))
+            made.faults.corrupt = 0.0
+            await made.until(lambda: all_alive(made))
+
+    play(scene())
+
+
+def test_a_paused_sidecar_is_suspected_then_refutes(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with tier(3, tmp_path, seed=9) as made:
+            await made.until(lambda: all_alive(made))
+            made.signal(1, signal.SIGSTOP)
+            await made.until(lambda: _holds(made, 1, {"dead"}))
+            made.signal(1, signal.SIGCONT)
+            await made.until(lambda: all_alive(made))
+
+    play(scene())
+
+
+async def _holds(made: Tier, of: int, statuses: set[str], among: tuple[int, ...] | None = None) -> bool:
+    seen = set()
+    for each in among or tuple(made.processes):
+        if each != of:
+            told = await made.members(each)
+            seen.add("?" if told is None else told["members"][str(of)][0])
+    return seen == statuses
+
+
+async def _dropped(made: Tier, number: int, why: str, least: int) -> bool:
+    told = await made.members(number)
+    return told is not None and told["dropped"].get(why, 0) >= least
--- a/topazbank/__main__.py
+++ b/topazbank/__main__.py
@@ -22,6 +22,7 @@
 from topazbank.net.discovery import Told, parse_list
 from topazbank.net.sidecar import Config, Sidecar
 from topazbank.net.upstream import parse_address
+from topazbank.peers.membership import Tuning
 from topazbank.wirehost import settings_from_wire
 
 log = logging.getLogger(__name__)
@@ -54,9 +55,35 @@
         orders=Path(environ.get("TMPDIR") or tempfile.gettempdir()),
         mgmt=_address(mgmt, "mgmt") if mgmt is not None else None,
         accept_fd=_descriptor(environ.get("RELAY_ACCEPT_FD")),
+        peer_listen=_address(given["peer_listen"], "peer_listen") if "peer_listen" in given else None,
+        peers=tuple(_address(each, "peers[]") for each in _listed(given.get("peers", []), "peers")),
+        peer_plane=_tuning(given.get("peer_plane")),
     )
 
 
+def _listed(value: Any, name: str) -> list[Any]:
+    if not isinstance(value, list) or len(value) > 1024:
+        raise ValueError(f"{name}: a list of at most 1024 is needed")
+    return value
+
+
+def _tuning(value: Any) -> Tuning | None:
+    """The operators' `peer_plane` object: `on` (false unless told) and the knobs of `Tuning`, times in ms."""
+    if value is None:
+        return None
+    if not isinstance(value, dict):
+        raise ValueError("peer_plane: an object is needed")
+    knobs = {name: each for name, each in value.items() if name != "on"}
+    unknown = set(knobs) - set(Tuning.__dataclass_fields__)
+    if unknown:
+        raise ValueError(f"peer_plane: unknown keys {sorted(unknown)!r:.100}")
+    if any(type(each) not in (int, float) for each in knobs.values()):
+        raise ValueError("peer_plane: numbers are needed")
+    if value.get("on", False) is not True:
+        return None
+    return Tuning(**{name: type(getattr(Tuning(), name))(each) for name, each in knobs.items()})
+
+
 def _address(value: Any, name: str) -> tuple[str, int]:
     if not isinstance(value, str):
         raise ValueError(f"{name}: an address is needed")
--- a/topazbank/net/admin.py
+++ b/topazbank/net/admin.py
@@ -36,8 +36,9 @@
         self.status = status
 
 
-Operation = Callable[[str], None]
-"""What a call does with the id in its path, empty where the call has none; raises Declined for a no."""
+Operation = Callable[[str], str | None]
+"""What a call does with the id in its path, empty where the call has none; raises Declined for a no.
+What it gives back is the answer's body; None: "yes"."""
 
 
 class Door:
@@ -85,7 +86,7 @@
             needed, operation = self._operations[name]
             if method != needed:
                 raise Declined(405, f"{needed} is needed")
-            operation(ident)
+            said = operation(ident)
         except Declined as no:
             if method != "GET":  # who waits for a start asks many times a second
                 log.info("operators: %s %.100s: no, %s", method, target, no)
@@ -95,7 +96,7 @@
             return 500, "internal error"
         if method != "GET":
             log.info("operators: %s %.100s: yes", method, target)
-        return 200, "yes"
+        return 200, "yes" if said is None else said
 
     def _named(self, target: str) -> tuple[str, str]:
         path = target.partition("?")[0]
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import itertools
+import json
 import logging
 import math
 import time
@@ -53,12 +54,15 @@
 )
 from topazbank.interface import Discovery as DiscoveryMode
 from topazbank.net import upstream
-from topazbank.net.admin import Declined, Door
+from topazbank.net.admin import Declined, Door, Operation
 from topazbank.net.discovery import Discovery, Told
 from topazbank.net.frontend import Call, Frontend, Hooks
 from topazbank.net.orders import Orders
 from topazbank.net.streams import Budget, Sink, Source
 from topazbank.net.upstream import Address, Exchange, Headers, Response
+from topazbank.peers.codec import Verdict
+from topazbank.peers.membership import Tuning
+from topazbank.peers.transport import PeerPlane
 
 log = logging.getLogger(__name__)
 
@@ -76,6 +80,7 @@
 _PUSHED_AGAIN_S = 0.5  # before a failed call to the agent that holds pushed lists is made again
 _ABOUT_BODY = (b"content-type", b"content-encoding")  # of a server's headers, these go to the client
 _FDS_KEPT = 64  # descriptors left for discovery, logs and the runtime
+_VERDICT_LIFE_MS = 15_000  # of a verdict told to peers; it is told again every third of that
 
 
 class Clock:
@@ -137,6 +142,9 @@
     orders: Path = Path()  # a folder that outlasts this process
     mgmt: Address | None = None  # where the operators call; None: nowhere
     accept_fd: int | None = None  # the listening socket, where the platform holds it
+    peer_listen: Address | None = None  # where peers' datagrams come in
+    peers: tuple[Address, ...] = ()  # the tier's, this one's own included, by number
+    peer_plane: Tuning | None = None  # None: the peer plane is off
 
 
 class Sidecar:
@@ -173,6 +181,8 @@
         self._knows_server = False  # whether it took the call that it was last asked about
         self._evacuated = False
         self._stopping = False
+        self._plane = _plane(config)
+        self._published: frozenset[str] = frozenset()  # exclusions last told to peers
         self.door = Door(config.mgmt, self._operations()) if config.mgmt is not None else None
         self._carry: dict[type[Any], Callable[[Any], None]] = {
             Send: self._send,
@@ -195,6 +205,9 @@
         if self.door is not None:
             self._follow_orders()  # before the first request: a ban outlasts the process that took it
             self.door.start()
+        if self._plane is not None:
+            await self._plane.start()
+            self._tell_peers()
         self._list(ListKind.REMEMBERED, self._known)
         if self._settings.discovery is DiscoveryMode.PUSHED:
             self._discovery.follow(True)
@@ -212,6 +225,8 @@
         await self._upstream.close()
         if self.door is not None:
             self.door.stop()
+        if self._plane is not None:
+            self._plane.stop()
 
     @staticmethod
     async def _first_of(one: asyncio.Event, other: asyncio.Event, limit_s: float) -> None:
@@ -277,9 +292,10 @@
 
     # -- The operators' calls -------------------------------------------------------------------------
 
-    def _operations(self) -> dict[str, tuple[str, Callable[[str], None]]]:
+    def _operations(self) -> dict[str, tuple[str, Operation]]:
         return {
             "ready": ("GET", self._tell_ready),
+            "members": ("GET", self._tell_members),
             "exclude/": ("PUT", partial(self._ask_exclusion, excluded=True)),
             "include/": ("PUT", partial(self._ask_exclusion, excluded=False)),
             "evacuate": ("PUT", lambda _: self._order(self._orders.evacuate)),
@@ -290,6 +306,21 @@
         if not self._takes_clients:
             raise Declined(503, "this process takes no clients")
 
+    def _tell_members(self, _: str) -> str:
+        if self._plane is None:
+            raise Declined(404, "the peer plane is off")
+        return json.dumps(self._plane.describe())
+
+    def _tell_peers(self) -> None:
+        """Tell peers this sidecar's exclusions, as verdicts that outlive a few renewals; and what ended."""
+        assert self._plane is not None
+        for server in self._excluded:
+            self._plane.publish(server, Verdict.EJECTED, 1, _VERDICT_LIFE_MS)
+        for server in self._published - self._excluded:
+            self._plane.publish(server, Verdict.CLEARED, 1, _VERDICT_LIFE_MS)
+        self._published = self._excluded
+        asyncio.get_running_loop().call_later(_VERDICT_LIFE_MS / 3000, self._tell_peers)
+
     def _ask_exclusion(self, server: str, excluded: bool) -> None:
         """Yes once the order is stored and in force; where it can't be stored, nothing has changed."""
         with _storing():
@@ -601,6 +632,13 @@
         self._upstream.forget_gone()
 
 
+def _plane(config: Config) -> PeerPlane | None:
+    if config.peer_plane is None or config.peer_listen is None:
+        return None
+    me = config.settings.me
+    return PeerPlane(config.peer_listen, list(config.peers), me, config.seed, config.peer_plane)
+
+
 @contextlib.contextmanager
 def _storing() -> Iterator[None]:
     try:
--- /dev/null
+++ b/topazbank/peers/transport.py
@@ -0,0 +1,100 @@
+"""The peer plane on a UDP socket: datagrams in and out, timers; nothing is decided here.
+
+Datagrams are taken only from the addresses in `peers` (PROTOCOL: they come from the sender's address there);
+from anywhere else they are dropped and counted.  The member's number is its place in `peers`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+from typing import Any, cast
+
+from topazbank.peers.codec import Verdict
+from topazbank.peers.membership import Datagram, Swim, Tuning
+
+log = logging.getLogger(__name__)
+
+Address = tuple[str, int]
+
+
+def monotonic_us() -> int:
+    return time.monotonic_ns() // 1000
+
+
+class PeerPlane(asyncio.DatagramProtocol):
+    """One sidecar's end of the plane: `listen` is its `peer_listen`, `peers` the tier's, `me` its number."""
+
+    def __init__(
+        self,
+        listen: Address,
+        peers: list[Address],
+        me: int,
+        seed: int,
+        tuning: Tuning,
+        clock: Callable[[], int] = monotonic_us,
+    ) -> None:
+        self.swim = Swim(me, len(peers), seed, tuning, clock())
+        self._listen, self._peers, self._clock = listen, peers, clock
+        self._index = {address: number for number, address in enumerate(peers)}
+        self._transport: asyncio.DatagramTransport | None = None
+        self._timer: asyncio.TimerHandle | None = None
+
+    async def start(self) -> None:
+        """Bind `listen`; raise OSError where it can't be."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(lambda: self, local_addr=self._listen)
+        self._tick()
+
+    def stop(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._transport is not None:
+            self._transport.close()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
+        sender = self._index.get((str(addr[0]), int(addr[1])))
+        if sender is None:
+            self.swim.counts.dropped["address"] += 1
+            return
+        self._post(self.swim.receive(self._clock(), sender, data))
+
+    def error_received(self, exc: Exception) -> None:
+        self.swim.counts.dropped["error"] += 1
+
+    def publish(self, server: str, verdict: Verdict, evidence: int, ttl_ms: int) -> None:
+        self.swim.publish(self._clock(), server, verdict, evidence, ttl_ms)
+
+    def describe(self) -> dict[str, Any]:
+        """What the plane holds, for the operators: members, counts, verdicts."""
+        swim, now = self.swim, self._clock()
+        counts = swim.counts
+        return {
+            "me": swim.me,
+            "incarnation": swim.incarnation,
+            "health": swim.health,
+            "members": {str(n): [s.name.lower(), inc] for n, (s, inc) in swim.view().items()},
+            "sent": [counts.sent, counts.sent_bytes],
+            "received": [counts.received, counts.received_bytes],
+            "dropped": dict(counts.dropped),
+            "verdicts": [
+                [u.origin, u.server, u.verdict.name.lower(), ttl] for u, ttl in swim.verdicts.live(now)
+            ],
+            "evicted": swim.verdicts.evicted,
+        }
+
+    def _tick(self) -> None:
+        self._post(self.swim.tick(self._clock()))
+        wait_s = max(self.swim.due_us() - self._clock(), 1000) / 1e6
+        self._timer = asyncio.get_running_loop().call_later(wait_s, self._tick)
+
+    def _post(self, out: list[Datagram]) -> None:
+        if self._transport is None:
+            return
+        for target, data in out:
+            self._transport.sendto(data, self._peers[target])
