--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -11,53 +11,12 @@
 from topazbank.peers import codec
 from topazbank.peers.codec import Kind, Malformed, Message, Status, Verdict, VerdictUpdate
 from topazbank.peers.membership import Swim, Tuning
+from topazbank.peers.simnet import SimNet as Net
 from topazbank.peers.verdicts import Verdicts
 
 MS = 1000
 
 
-class Net:
-    """Members on one clock; datagrams take `delay_ms`, and each is lost with odds `loss`."""
-
-    def __init__(self, size: int, loss: float = 0.0, seed: int = 1, delay_ms: int = 2) -> None:
-        self.now = 0
-        self.members = [Swim(each, size, seed * 100 + each) for each in range(size)]
-        self.down: set[int] = set()
-        self.cut: set[frozenset[int]] = set()  # pairs that do not hear each other
-        self.loss, self._delay = loss, delay_ms * MS
-        self._random = random.Random(seed)
-        self._flying: list[tuple[int, int, int, bytes]] = []  # due, from, to, data
-
-    def run(self, span_ms: int, step_ms: int = 5) -> None:
-        end = self.now + span_ms * MS
-        while self.now < end:
-            self.now += step_ms * MS
-            due, self._flying = (
-                [f for f in self._flying if f[0] <= self.now],
-                [f for f in self._flying if f[0] > self.now],
-            )
-            for _, sender, target, data in due:
-                if target not in self.down:
-                    self._post(target, self.members[target].receive(self.now, sender, data))
-            for each, member in enumerate(self.members):
-                if each not in self.down:
-                    self._post(each, member.tick(self.now))
-
-    def _post(self, sender: int, out: list[tuple[int, bytes]]) -> None:
-        for target, data in out:
-            assert len(data) <= codec.DATAGRAM_MOST
-            if frozenset((sender, target)) in self.cut or self._random.random() < self.loss:
-                continue
-            self._flying.append((self.now + self._delay, sender, target, data))
-
-    def statuses(self, of: int) -> set[Status]:
-        return {
-            self.members[each].view()[of][0]
-            for each in range(len(self.members))
-            if each not in self.down | {of}
-        }
-
-
 def test_a_message_comes_back_as_it_went() -> None:
     update = VerdictUpdate(3, 2, 9, "10.0.0.1:80", Verdict.SLOW, 4, 1500)
     data, taken = codec.encode(Message(Kind.PING_REQ, 5, 77, 2), [update] * 40)
@@ -125,8 +84,7 @@
     net.down.add(2)
     net.run(4_000)
     assert net.statuses(2) == {Status.DEAD}
-    net.members[2] = Swim(2, 5, 999, now_us=net.now)  # same number, nothing remembered
-    net.down.discard(2)
+    net.restart(2, 999)  # same number, nothing remembered
     net.run(6_000)
     assert net.statuses(2) == {Status.ALIVE} and net.members[2].incarnation > 0
 
--- a/topazbank/peers/membership.py
+++ b/topazbank/peers/membership.py
@@ -47,7 +47,7 @@
     probe_timeout_ms: int = 80
     indirect: int = 3  # members asked to ping for us
     suspicion_mult: float = 6.0
-    retransmit_mult: float = 3.0
+    retransmit_mult: int = 4
     health_most: int = 8
     rejoin_every: int = 8  # one probe in so many goes to a dead member, where there is one
     verdicts_most: int = 1024
@@ -302,11 +302,11 @@
         self._spread(MemberUpdate(self.me, self.incarnation, Status.ALIVE), (0, self.me, ""))
 
     def _spread(self, update: Update, key: tuple[int, int, str]) -> None:
-        sends = math.ceil(self.tuning.retransmit_mult * math.log10(self.size + 1))
-        self._gossip[key] = (update, max(sends, 1))
+        self._gossip[key] = (update, retransmits(self.size, self.tuning))
 
     def _send(self, target: int, message: Message) -> Datagram:
-        pending = sorted(self._gossip.items(), key=lambda item: (not _about(item[1][0], target), -item[1][1]))
+        pending = [item for item in self._gossip.items() if not _from(item[1][0], target)]
+        pending.sort(key=lambda item: (not _about(item[1][0], target), -item[1][1]))
         data, taken = codec.encode(message, [update for _, (update, _) in pending])
         for key, (update, left) in pending[:taken]:
             if left <= 1:
@@ -325,5 +325,15 @@
     return update.status > member.status
 
 
+def retransmits(size: int, tuning: Tuning) -> int:
+    """How many messages carry each rumour (memberlist's limit): mult x ceil(log10(N + 1))."""
+    return tuning.retransmit_mult * math.ceil(math.log10(size + 1))
+
+
+def _from(update: Update, member: int) -> bool:
+    """A verdict is not told back to its origin."""
+    return isinstance(update, VerdictUpdate) and update.origin == member
+
+
 def _about(update: Update, member: int) -> bool:
     return isinstance(update, MemberUpdate) and update.member == member
