Hold an operator's ban tier-wide through the peer plane, bounded against a lying peer

Change: the plane decides which of the tier's bans to take (Swim.tier_bans): servers held ejected by at least ban_quorum live peers (1), ban_most at most (4), most-held first. The sidecar feeds the module ExclusionsHeard(own orders | tier bans) every 0.1 s and tells peers only its own orders, so a ban ends when its door lifts it. The module is untouched. Where peer_listen is still held (the older process of an upgrade), binding is tried each second.

Measured: multi-process test, 3 sidecars at 10 % loss: a ban at door 0 is held by all and lifted by all.

--- a/tests/cluster/harness.py
+++ b/tests/cluster/harness.py
@@ -26,6 +26,7 @@
 PATIENCE_S = 30.0  # for what must come; no test takes it as proof of anything
 LANES = [{"name": "look", "giveUpUs": 2_000_000, "repeat": "read_like"}]
 PLANE = {"on": True, "period_ms": 100, "probe_timeout_ms": 40}
+SERVER = {"name": "s-1", "address": "127.0.0.1:9", "zone": "a", "type": "m", "group": 1, "status": "active"}
 
 Address = tuple[str, int]
 
@@ -131,7 +132,7 @@
             "listen": text(free_tcp()),
             "discovery": "127.0.0.1:1",
             "seed": f"{1000 + number:x}",
-            "known": {"index": 1, "snapshot": True, "endpoints": []},
+            "known": {"index": 1, "snapshot": True, "endpoints": [SERVER]},
             "settings": settings,
             "mgmt": text(self.doors[number]),
             "peer_listen": text(self.listens[number]),
@@ -171,18 +172,23 @@
             if proxy.transport is not None:
                 proxy.transport.close()
 
-    async def members(self, number: int) -> dict[str, Any] | None:
-        """What sidecar `number`'s door tells of the plane; None while it does not answer."""
+    async def call(self, number: int, method: str, path: str) -> tuple[int, bytes]:
+        """Call sidecar `number`'s door; status 0 where it does not answer within a second."""
         try:
             async with asyncio.timeout(1.0):
                 reader, writer = await asyncio.open_connection(*self.doors[number])
-                writer.write(b"GET /api/members HTTP/1.1\r\nHost: door\r\nConnection: close\r\n\r\n")
+                writer.write(f"{method} {path} HTTP/1.1\r\nHost: door\r\nConnection: close\r\n\r\n".encode())
                 data = await reader.read()
                 writer.close()
         except (OSError, TimeoutError):
-            return None
+            return 0, b""
         head, _, body = data.partition(b"\r\n\r\n")
-        if not head.startswith(b"HTTP/1.1 200"):
+        return int(head.split(b" ")[1]) if head.startswith(b"HTTP/1.1 ") else 0, body
+
+    async def members(self, number: int) -> dict[str, Any] | None:
+        """What sidecar `number`'s door tells of the plane; None while it does not answer."""
+        status, body = await self.call(number, "GET", "/api/members")
+        if status != 200:
             return None
         told: dict[str, Any] = json.loads(body)
         return told
--- a/tests/cluster/test_peer_plane.py
+++ b/tests/cluster/test_peer_plane.py
@@ -72,6 +72,27 @@
     play(scene())
 
 
+def test_a_ban_at_one_door_holds_across_the_tier_until_lifted(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with tier(3, tmp_path, seed=11) as made:
+            made.faults.loss = 0.1
+            await made.until(lambda: all_alive(made))
+            assert (await made.call(0, "PUT", "/api/exclude/s-1"))[0] == 200
+            await made.until(lambda: _excluded(made, {"s-1"}))
+            assert (await made.call(0, "PUT", "/api/include/s-1"))[0] == 200
+            await made.until(lambda: _excluded(made, set()))
+
+    play(scene())
+
+
+async def _excluded(made: Tier, servers: set[str]) -> bool:
+    for number in made.processes:
+        told = await made.members(number)
+        if told is None or set(told["excluded"]) != servers:
+            return False
+    return True
+
+
 async def _holds(made: Tier, of: int, statuses: set[str], among: tuple[int, ...] | None = None) -> bool:
     seen = set()
     for each in among or tuple(made.processes):
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -116,6 +116,17 @@
     assert max(each.agreeing(net.now, "10.1.0.9:8443", Verdict.EJECTED) for each in net.members) == 1
 
 
+def test_a_lying_peer_bans_no_more_than_its_bound() -> None:
+    for quorum, most in ((1, 4), (2, 4)):
+        net = Net(5, seed=6, tuning=Tuning(ban_quorum=quorum, ban_most=most))
+        net.run(500)
+        for number in range(10):
+            net.members[4].publish(net.clock(4), f"s{number}", Verdict.EJECTED, 1, 30_000)
+        net.run(2_000)
+        banned = [net.members[each].tier_bans(net.now) for each in range(4)]
+        assert all(len(each) == (most if quorum == 1 else 0) for each in banned)
+
+
 def test_garbage_from_a_member_is_counted_not_taken() -> None:
     member = Swim(0, 3, 1)
     assert member.receive(0, 1, b"\xff" * 300) == [] and member.receive(0, 1, b"\x93\x01") == []
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -80,6 +80,7 @@
 _PUSHED_AGAIN_S = 0.5  # before a failed call to the agent that holds pushed lists is made again
 _ABOUT_BODY = (b"content-type", b"content-encoding")  # of a server's headers, these go to the client
 _FDS_KEPT = 64  # descriptors left for discovery, logs and the runtime
+_PLANE_AGAIN_S = 1.0  # between tries to bind peer_listen
 _VERDICT_LIFE_MS = 15_000  # of a verdict told to peers; it is told again every third of that
 
 
@@ -183,6 +184,9 @@
         self._stopping = False
         self._plane = _plane(config)
         self._published: frozenset[str] = frozenset()  # exclusions last told to peers
+        self._ordered: frozenset[str] = frozenset()  # exclusions in this sidecar's own orders
+        self._plane_start: asyncio.TimerHandle | None = None
+        self._plane_task: asyncio.Future[None] | None = None
         self.door = Door(config.mgmt, self._operations()) if config.mgmt is not None else None
         self._carry: dict[type[Any], Callable[[Any], None]] = {
             Send: self._send,
@@ -206,8 +210,7 @@
             self._follow_orders()  # before the first request: a ban outlasts the process that took it
             self.door.start()
         if self._plane is not None:
-            await self._plane.start()
-            self._tell_peers()
+            await self._start_plane(self._plane)
         self._list(ListKind.REMEMBERED, self._known)
         if self._settings.discovery is DiscoveryMode.PUSHED:
             self._discovery.follow(True)
@@ -227,6 +230,8 @@
             self.door.stop()
         if self._plane is not None:
             self._plane.stop()
+        if self._plane_start is not None:
+            self._plane_start.cancel()
 
     @staticmethod
     async def _first_of(one: asyncio.Event, other: asyncio.Event, limit_s: float) -> None:
@@ -309,17 +314,48 @@
     def _tell_members(self, _: str) -> str:
         if self._plane is None:
             raise Declined(404, "the peer plane is off")
-        return json.dumps(self._plane.describe())
+        return json.dumps(self._plane.describe() | {"excluded": sorted(self._excluded)})
 
     def _tell_peers(self) -> None:
         """Tell peers this sidecar's exclusions, as verdicts that outlive a few renewals; and what ended."""
+        self._publish_orders()
+        asyncio.get_running_loop().call_later(_VERDICT_LIFE_MS / 3000, self._tell_peers)
+
+    def _publish_orders(self) -> None:
         assert self._plane is not None
-        for server in self._excluded:
+        for server in self._ordered:
             self._plane.publish(server, Verdict.EJECTED, 1, _VERDICT_LIFE_MS)
-        for server in self._published - self._excluded:
+        for server in self._published - self._ordered:
             self._plane.publish(server, Verdict.CLEARED, 1, _VERDICT_LIFE_MS)
-        self._published = self._excluded
-        asyncio.get_running_loop().call_later(_VERDICT_LIFE_MS / 3000, self._tell_peers)
+        self._published = self._ordered
+
+    async def _start_plane(self, plane: PeerPlane, tries: int = 0) -> None:
+        """Bind the plane; while the process before this one in an upgrade holds the port, try each second."""
+        try:
+            await plane.start()
+        except OSError as fault:
+            if tries == 0:
+                log.warning("the peer plane can't bind yet, it is tried each second: %s", fault)
+            self._plane_start = asyncio.get_running_loop().call_later(
+                _PLANE_AGAIN_S, self._retry_plane, plane, tries + 1
+            )
+            return
+        log.info("the peer plane is bound, member %d of %d", plane.swim.me, plane.swim.size)
+        self._tell_peers()
+        self._follow_peers()
+
+    def _retry_plane(self, plane: PeerPlane, tries: int) -> None:
+        self._plane_task = asyncio.ensure_future(self._start_plane(plane, tries))  # held: tasks are weak
+
+    def _follow_peers(self) -> None:
+        self._hear_exclusions()
+        asyncio.get_running_loop().call_later(_ORDERS_EVERY_S, self._follow_peers)
+
+    def _hear_exclusions(self) -> None:
+        """The module hears this sidecar's own orders and the bans that the plane holds for the tier."""
+        wanted = self._ordered | (self._plane.tier_bans() if self._plane is not None else frozenset())
+        if wanted != self._excluded:
+            self.handle(ExclusionsHeard(wanted))
 
     def _ask_exclusion(self, server: str, excluded: bool) -> None:
         """Yes once the order is stored and in force; where it can't be stored, nothing has changed."""
@@ -351,8 +387,10 @@
             self._orders_fault = True
             return
         self._orders_fault = False
-        if excluded != self._excluded:
-            self.handle(ExclusionsHeard(excluded))
+        changed, self._ordered = excluded != self._ordered, excluded
+        if changed and self._plane is not None:
+            self._publish_orders()
+        self._hear_exclusions()
         if evacuated == self._evacuated or self._stopping:
             return
         self._evacuated = evacuated
--- a/topazbank/peers/membership.py
+++ b/topazbank/peers/membership.py
@@ -51,10 +51,14 @@
     health_most: int = 8
     rejoin_every: int = 8  # one probe in so many goes to a dead member, where there is one
     verdicts_most: int = 1024
+    ban_quorum: int = 1  # live peers that must hold a ban before this sidecar takes it
+    ban_most: int = 4  # servers that peers' bans may leave out at once: what a lying peer can do
 
     def __post_init__(self) -> None:
         if not 0 < self.probe_timeout_ms < self.period_ms <= 60_000:
             raise ValueError("peer_plane: 0 < probe_timeout_ms < period_ms <= 60000 is needed")
+        if not 1 <= self.ban_quorum <= codec.MEMBERS_MOST or not 0 <= self.ban_most <= codec.MEMBERS_MOST:
+            raise ValueError("peer_plane: ban_quorum in 1..1024 and ban_most in 0..1024 are needed")
         if not 1 <= self.indirect <= 16 or self.suspicion_mult < 1 or self.retransmit_mult < 1:
             raise ValueError(
                 "peer_plane: indirect in 1..16, suspicion_mult and retransmit_mult >= 1 are needed"
@@ -189,6 +193,16 @@
             1 for each in self.verdicts.holding(now_us, server, verdict, self.me) if each.origin in live
         )
 
+    def tier_bans(self, now_us: int) -> frozenset[str]:
+        """Servers that at least `ban_quorum` live peers hold ejected now, `ban_most` at most: those held by
+        the most peers first, then by name."""
+        live, held = set(self.alive()), Counter[str]()
+        for update, _ in self.verdicts.live(now_us):
+            if update.origin in live and update.verdict is Verdict.EJECTED:
+                held[update.server] += 1
+        chosen = sorted((-count, server) for server, count in held.items() if count >= self.tuning.ban_quorum)
+        return frozenset(server for _, server in chosen[: self.tuning.ban_most])
+
     # -- Probing ----------------------------------------------------------------------------------------
 
     def _start_probe(self, now_us: int) -> list[Datagram]:
--- a/topazbank/peers/transport.py
+++ b/topazbank/peers/transport.py
@@ -70,6 +70,9 @@
     def publish(self, server: str, verdict: Verdict, evidence: int, ttl_ms: int) -> None:
         self.swim.publish(self._clock(), server, verdict, evidence, ttl_ms)
 
+    def tier_bans(self) -> frozenset[str]:
+        return self.swim.tier_bans(self._clock())
+
     def describe(self) -> dict[str, Any]:
         """What the plane holds, for the operators: members, counts, verdicts."""
         swim, now = self.swim, self._clock()
