Load the peer plane only where it is on; test clock skew and replayed datagrams

Change: topazbank.peers and msgpack are imported only when peer_plane is on. Tests: members whose clocks are an hour apart each reach the same views and verdicts as on one clock; a replayed older verdict is not taken while the newer one is held.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -116,6 +116,35 @@
     assert max(each.agreeing(net.now, "10.1.0.9:8443", Verdict.EJECTED) for each in net.members) == 1
 
 
+def test_clocks_far_apart_change_nothing() -> None:
+    plain, skewed = Net(6, seed=8), Net(6, seed=8)
+    skewed.skew_us = [each * 3_600_000_000 for each in range(6)]  # an hour apart each
+    for net in (plain, skewed):
+        net.run(500)
+        net.members[0].publish(net.clock(0), "s", Verdict.SLOW, 2, 30_000)
+        net.down.add(3)
+        net.run(6_000)
+    assert [m.view() for m in plain.members] == [m.view() for m in skewed.members]
+    assert all(
+        skewed.members[each].agreeing(skewed.clock(each), "s", Verdict.SLOW) == 1 for each in (1, 2, 4, 5)
+    )
+
+
+def test_datagrams_heard_again_later_bring_back_nothing() -> None:
+    net = Net(3, seed=9)
+    net.run(500)
+    net.members[0].publish(net.clock(0), "s", Verdict.EJECTED, 1, 2_000)
+    net.run(1_000)
+    old = VerdictUpdate(0, 0, 1, "s", Verdict.EJECTED, 1, 2_000)
+    assert net.members[1].verdicts.holding(net.clock(1), "s", Verdict.EJECTED) == [old]
+    replay, _ = codec.encode(Message(Kind.PING, 0, 5), [old])
+    net.members[0].publish(net.clock(0), "s", Verdict.CLEARED, 1, 2_000)
+    net.run(1_000)
+    for _ in range(3):  # heard again while the newer verdict is held: the older one is not taken
+        net.members[1].receive(net.clock(1), 0, replay)
+    assert net.members[1].tier_bans(net.clock(1)) == frozenset() and net.members[1].verdicts.stale >= 3
+
+
 def test_a_lying_peer_bans_no_more_than_its_bound() -> None:
     for quorum, most in ((1, 4), (2, 4)):
         net = Net(5, seed=6, tuning=Tuning(ban_quorum=quorum, ban_most=most))
--- a/topazbank/__main__.py
+++ b/topazbank/__main__.py
@@ -16,15 +16,17 @@
 import tempfile
 from collections.abc import Mapping
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from topazbank.net import frontend
 from topazbank.net.discovery import Told, parse_list
 from topazbank.net.sidecar import Config, Sidecar
 from topazbank.net.upstream import parse_address
-from topazbank.peers.membership import Tuning
 from topazbank.wirehost import settings_from_wire
 
+if TYPE_CHECKING:
+    from topazbank.peers.membership import Tuning
+
 log = logging.getLogger(__name__)
 
 _SOCKETS = 1024  # unless the configuration tells
@@ -71,6 +73,8 @@
     """The operators' `peer_plane` object: `on` (false unless told) and the knobs of `Tuning`, times in ms."""
     if value is None:
         return None
+    from topazbank.peers.membership import Tuning  # loaded where it is asked for: starts cost CPU
+
     if not isinstance(value, dict):
         raise ValueError("peer_plane: an object is needed")
     knobs = {name: each for name, each in value.items() if name != "on"}
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -18,7 +18,7 @@
 from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import h11
 
@@ -60,9 +60,10 @@
 from topazbank.net.orders import Orders
 from topazbank.net.streams import Budget, Sink, Source
 from topazbank.net.upstream import Address, Exchange, Headers, Response
-from topazbank.peers.codec import Verdict
-from topazbank.peers.membership import Tuning
-from topazbank.peers.transport import PeerPlane
+
+if TYPE_CHECKING:  # loaded where the plane is on: a start without it costs no more CPU
+    from topazbank.peers.membership import Tuning
+    from topazbank.peers.transport import PeerPlane
 
 log = logging.getLogger(__name__)
 
@@ -322,6 +323,8 @@
         asyncio.get_running_loop().call_later(_VERDICT_LIFE_MS / 3000, self._tell_peers)
 
     def _publish_orders(self) -> None:
+        from topazbank.peers.codec import Verdict
+
         assert self._plane is not None
         for server in self._ordered:
             self._plane.publish(server, Verdict.EJECTED, 1, _VERDICT_LIFE_MS)
@@ -673,6 +676,8 @@
 def _plane(config: Config) -> PeerPlane | None:
     if config.peer_plane is None or config.peer_listen is None:
         return None
+    from topazbank.peers.transport import PeerPlane
+
     me = config.settings.me
     return PeerPlane(config.peer_listen, list(config.peers), me, config.seed, config.peer_plane)
 
