--- a/tests/cluster/test_peer_plane.py
+++ b/tests/cluster/test_peer_plane.py
@@ -6,8 +6,13 @@
 import socket
 from pathlib import Path
 
+import msgpack  # type: ignore[import-untyped]
 from harness import Tier, play, tier
 
+from topazbank.peers import codec
+from topazbank.peers.codec import Verdict, VerdictUpdate
+from topazbank.state import snapshot
+
 
 async def all_alive(made: Tier) -> bool:
     for number in made.processes:
@@ -105,3 +110,37 @@
 async def _dropped(made: Tier, number: int, why: str, least: int) -> bool:
     told = await made.members(number)
     return told is not None and told["dropped"].get(why, 0) >= least
+
+
+def test_a_restart_resumes_from_its_snapshot_and_a_damaged_one_starts_cold(tmp_path: Path) -> None:
+    async def scene() -> None:
+        made = Tier(3, tmp_path, seed=13)
+        await made.open()
+        try:
+            kept = VerdictUpdate(1, 0, 9, "s-1", Verdict.EJECTED, 1, 30_000)
+            (tmp_path / "n2").mkdir()
+            snapshot.write(
+                tmp_path / "n2" / "peers.snap", [msgpack.packb([41, 3]), msgpack.packb(codec.flat(kept))]
+            )
+            (tmp_path / "n1").mkdir()
+            (tmp_path / "n1" / "peers.snap").write_bytes(snapshot.pack([b"x"])[:-3] + b"junk")
+            for number in range(3):
+                await made.start(number)
+            await made.until(lambda: _told(made, 2))
+            told = await made.members(2)
+            assert told is not None and told["incarnation"] == 42  # a life after the one it kept
+            assert [1, "s-1", "ejected"] in [each[:3] for each in told["verdicts"]]
+            await made.until(lambda: all_alive(made))
+            await made.kill(2)
+            await made.start(2)  # after kill -9: from the snapshot the process itself wrote
+            await made.until(lambda: _told(made, 2))
+            again = await made.members(2)
+            assert again is not None and again["incarnation"] >= 43
+        finally:
+            await made.close()
+
+    play(scene())
+
+
+async def _told(made: Tier, number: int) -> bool:
+    return await made.members(number) is not None
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -82,6 +82,7 @@
 _ABOUT_BODY = (b"content-type", b"content-encoding")  # of a server's headers, these go to the client
 _FDS_KEPT = 64  # descriptors left for discovery, logs and the runtime
 _PLANE_AGAIN_S = 1.0  # between tries to bind peer_listen
+_KEEP_EVERY_S = 1.0  # how often the plane's snapshot is written
 _VERDICT_LIFE_MS = 15_000  # of a verdict told to peers; it is told again every third of that
 
 
@@ -188,6 +189,8 @@
         self._ordered: frozenset[str] = frozenset()  # exclusions in this sidecar's own orders
         self._plane_start: asyncio.TimerHandle | None = None
         self._plane_task: asyncio.Future[None] | None = None
+        self._keep_path = config.orders / "peers.snap"
+        self._keep_fault = False
         self.door = Door(config.mgmt, self._operations()) if config.mgmt is not None else None
         self._carry: dict[type[Any], Callable[[Any], None]] = {
             Send: self._send,
@@ -344,8 +347,40 @@
             )
             return
         log.info("the peer plane is bound, member %d of %d", plane.swim.me, plane.swim.size)
+        self._resume_plane(plane)
         self._tell_peers()
         self._follow_peers()
+        self._keep_plane(plane)
+
+    def _resume_plane(self, plane: PeerPlane) -> None:
+        """Start from the snapshot that the process before this one left, where it checks out."""
+        from topazbank.peers import keep
+        from topazbank.state.snapshot import Refused
+
+        try:
+            held, whole = plane.with_core(lambda swim, now: keep.resume(swim, now, self._keep_path))
+        except (Refused, OSError, ValueError) as bad:
+            log.warning("the peer plane's snapshot is not taken, it starts cold: %s", bad)
+            return
+        told = "whole" if whole else "cut short, taken as far as it was good"
+        log.info(
+            "the peer plane resumed at incarnation %d with %d verdicts, the snapshot %s",
+            plane.swim.incarnation,
+            held,
+            told,
+        )
+
+    def _keep_plane(self, plane: PeerPlane) -> None:
+        from topazbank.peers import keep
+
+        try:
+            plane.with_core(lambda swim, now: keep.save(swim, now, self._keep_path))
+            self._keep_fault = False
+        except OSError as fault:
+            if not self._keep_fault:
+                log.error("the peer plane's snapshot can't be written, it serves on: %s", fault)
+            self._keep_fault = True
+        asyncio.get_running_loop().call_later(_KEEP_EVERY_S, self._keep_plane, plane)
 
     def _retry_plane(self, plane: PeerPlane, tries: int) -> None:
         self._plane_task = asyncio.ensure_future(self._start_plane(plane, tries))  # held: tasks are weak
--- a/topazbank/peers/codec.py
+++ b/topazbank/peers/codec.py
@@ -150,11 +150,17 @@
         _whole(incarnation, 0, _WORD - 1, "incarnation"),
         _whole(seq, 0, _WORD - 1, "seq"),
         _whole(target, -1, MEMBERS_MOST - 1, "target"),
-        tuple(_update(each) for each in updates),
+        tuple(update_from(each) for each in updates),
     )
 
 
-def _update(value: Any) -> Update:
+def flat(update: Update) -> list[Any]:
+    """An update as the list that a datagram carries."""
+    return _flat(update)
+
+
+def update_from(value: Any) -> Update:
+    """An update from the list that a datagram carries; raise `Malformed`."""
     if not isinstance(value, list) or not value:
         raise Malformed("update: a list is needed")
     if value[0] == 0 and len(value) == 4:
--- a/topazbank/peers/membership.py
+++ b/topazbank/peers/membership.py
@@ -20,7 +20,7 @@
 import math
 import random
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from topazbank.peers import codec
 from topazbank.peers.codec import (
@@ -176,6 +176,23 @@
         )
         self._hear_of(now_us, update)
 
+    def resume(
+        self, now_us: int, incarnation: int, counter: int, held: list[tuple[VerdictUpdate, int]]
+    ) -> None:
+        """Start from what a snapshot kept: a life after `incarnation`, versions after `counter`, and the
+        verdicts of others, each with the ms it had left."""
+        self.incarnation = min(incarnation + 1, (1 << 32) - 1)
+        self._counter = max(self._counter, counter)
+        self._spread(MemberUpdate(self.me, self.incarnation, Status.ALIVE), (0, self.me, ""))
+        for update, left_ms in held:
+            if update.origin != self.me and update.origin in self.members:
+                self.verdicts.take(now_us, replace(update, ttl_ms=left_ms))
+
+    @property
+    def counter(self) -> int:
+        """The version of this member's latest verdict."""
+        return self._counter
+
     # -- Views ------------------------------------------------------------------------------------------
 
     def alive(self) -> list[int]:
--- a/topazbank/peers/transport.py
+++ b/topazbank/peers/transport.py
@@ -10,7 +10,7 @@
 import logging
 import time
 from collections.abc import Callable
-from typing import Any, cast
+from typing import Any, TypeVar, cast
 
 from topazbank.peers.codec import Verdict
 from topazbank.peers.membership import Datagram, Swim, Tuning
@@ -18,6 +18,7 @@
 log = logging.getLogger(__name__)
 
 Address = tuple[str, int]
+_T = TypeVar("_T")
 
 
 def monotonic_us() -> int:
@@ -70,6 +71,10 @@
     def publish(self, server: str, verdict: Verdict, evidence: int, ttl_ms: int) -> None:
         self.swim.publish(self._clock(), server, verdict, evidence, ttl_ms)
 
+    def with_core(self, use: Callable[[Swim, int], _T]) -> _T:
+        """Let `use` read or change the core at this moment of the clock (snapshots)."""
+        return use(self.swim, self._clock())
+
     def tier_bans(self) -> frozenset[str]:
         return self.swim.tier_bans(self._clock())
 
