Tell a member back from the dead or in a new life the verdicts it missed

Change: when a member is heard alive after being held dead, or at a higher incarnation, this member gossips its own live verdicts again, with the time they have left.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -89,6 +89,18 @@
     assert net.statuses(2) == {Status.ALIVE} and net.members[2].incarnation > 0
 
 
+def test_a_member_back_from_the_dead_is_told_the_verdicts_it_missed() -> None:
+    net = Net(5, seed=12)
+    net.run(500)
+    net.down.add(2)
+    net.members[0].publish(net.clock(0), "s", Verdict.EJECTED, 1, 60_000)
+    net.run(4_000)  # told to the others while 2 was away; its retransmits are spent
+    assert net.statuses(2) == {Status.DEAD}
+    net.restart(2, 77)
+    net.run(3_000)
+    assert net.members[2].agreeing(net.clock(2), "s", Verdict.EJECTED) == 1
+
+
 def test_a_healed_partition_joins_again() -> None:
     net = Net(6, seed=3)
     net.run(500)
--- a/topazbank/peers/membership.py
+++ b/topazbank/peers/membership.py
@@ -312,8 +312,19 @@
         member = self.members.get(update.member)
         if member is None or not _overrides(update, member):
             return
+        back = update.status is Status.ALIVE and (
+            member.status is Status.DEAD or update.incarnation > member.incarnation
+        )
         member.incarnation, member.status, member.changed_us = update.incarnation, update.status, now_us
         self._spread(update, (0, update.member, ""))
+        if back:
+            self._spread_own(now_us)
+
+    def _spread_own(self, now_us: int) -> None:
+        """A member is back (a new life, or from the dead): it may have missed this one's verdicts."""
+        for update, left_ms in self.verdicts.live(now_us):
+            if update.origin == self.me:
+                self._spread(replace(update, ttl_ms=left_ms), (1, update.origin, update.server))
 
     def _remind(self, sender: int, incarnation: int) -> None:
         """A member held suspect or dead speaks: tell it so first, that it may refute."""
