Drop a dead harness method and a wrapper around the codec's flattening

Need: reading the change again: Tier.statuses in the cluster harness was never called (the tests use their own _holds); codec.flat only wrapped _flat; bench/peers.py typed its condition as object and silenced mypy for it. Change: Tier.statuses removed; _flat is now the public flat, used by the codec and by keep.py; the bench's condition is a Callable. Behaviour is unchanged.

--- a/bench/peers.py
+++ b/bench/peers.py
@@ -14,6 +14,7 @@
 import math
 import statistics
 import time
+from collections.abc import Callable
 
 from topazbank.peers.codec import Status, Verdict
 from topazbank.peers.membership import Tuning, retransmits
@@ -34,10 +35,10 @@
     return 1 + suspicion + spread_bound(size, tuning)
 
 
-def until(net: SimNet, done: object, most_ms: int) -> float | None:
+def until(net: SimNet, done: Callable[[], bool], most_ms: int) -> float | None:
     began = net.now
     while net.now - began < most_ms * 1000:
-        if done():  # type: ignore[operator]
+        if done():
             return (net.now - began) / 1000
         net.step(STEP_MS)
     return None
--- a/tests/cluster/harness.py
+++ b/tests/cluster/harness.py
@@ -193,15 +193,6 @@
         told: dict[str, Any] = json.loads(body)
         return told
 
-    async def statuses(self, number: int, of: int) -> set[str]:
-        """How the running sidecars other than `of` hold member `of`."""
-        seen = set()
-        for each in self.processes:
-            if each != of:
-                told = await self.members(each)
-                seen.add("?" if told is None else told["members"][str(of)][0])
-        return seen
-
     async def until(self, condition: Any, patience_s: float = PATIENCE_S) -> float:
         """Wait until the coroutine function `condition` is true; give the seconds it took."""
         loop = asyncio.get_running_loop()
--- a/topazbank/peers/codec.py
+++ b/topazbank/peers/codec.py
@@ -92,13 +92,13 @@
 def encode(message: Message, extra: list[Update] | None = None) -> tuple[bytes, int]:
     """Pack `message` and as many of `extra` as fit in `DATAGRAM_MOST` bytes; give bytes and how many fit."""
     head = [VERSION, int(message.kind), message.incarnation, message.seq, message.target]
-    updates = [_flat(each) for each in message.updates]
+    updates = [flat(each) for each in message.updates]
     data = msgpack.packb([*head, updates])
     if len(data) > DATAGRAM_MOST:
         raise ValueError("the message alone is over the datagram's size")
     taken = 0
     for each in (extra or [])[: UPDATES_MOST - len(updates)]:
-        updates.append(_flat(each))
+        updates.append(flat(each))
         longer = msgpack.packb([*head, updates])
         if len(longer) > DATAGRAM_MOST:
             updates.pop()
@@ -107,7 +107,8 @@
     return data, taken
 
 
-def _flat(update: Update) -> list[Any]:
+def flat(update: Update) -> list[Any]:
+    """An update as the list that a datagram carries."""
     if isinstance(update, MemberUpdate):
         return [0, update.member, update.incarnation, int(update.status)]
     return [
@@ -154,11 +155,6 @@
     )
 
 
-def flat(update: Update) -> list[Any]:
-    """An update as the list that a datagram carries."""
-    return _flat(update)
-
-
 def update_from(value: Any) -> Update:
     """An update from the list that a datagram carries; raise `Malformed`."""
     if not isinstance(value, list) or not value:
