--- a/bench/peers.py
+++ b/bench/peers.py
@@ -16,7 +16,8 @@
 import time
 from collections.abc import Callable
 
-from topazbank.peers.codec import Status, Verdict
+from topazbank.interface import Verdict
+from topazbank.peers.codec import Status
 from topazbank.peers.membership import Tuning, retransmits
 from topazbank.peers.simnet import SimNet
 
--- a/tests/cluster/test_peer_plane.py
+++ b/tests/cluster/test_peer_plane.py
@@ -9,8 +9,9 @@
 import msgpack  # type: ignore[import-untyped]
 from harness import Tier, play, tier
 
+from topazbank.interface import Verdict
 from topazbank.peers import codec
-from topazbank.peers.codec import Verdict, VerdictUpdate
+from topazbank.peers.codec import VerdictUpdate
 from topazbank.state import snapshot
 
 
--- a/topazbank/__main__.py
+++ b/topazbank/__main__.py
@@ -15,9 +15,11 @@
 import sys
 import tempfile
 from collections.abc import Mapping
+from dataclasses import replace
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
+from topazbank.interface import locality_from
 from topazbank.net import frontend
 from topazbank.net.discovery import Told, parse_list
 from topazbank.net.sidecar import Config, Sidecar
@@ -25,6 +27,7 @@
 from topazbank.wirehost import settings_from_wire
 
 if TYPE_CHECKING:
+    from topazbank.lease.core import Terms
     from topazbank.peers.membership import Tuning
 
 log = logging.getLogger(__name__)
@@ -52,7 +55,9 @@
         seed=_seed(given.get("seed", "0")),
         sockets=_limit(given.get("limits"), "sockets", _SOCKETS),
         memory_mb=_limit(given.get("limits"), "memory_mb", _MEMORY_MB),
-        settings=settings_from_wire(given.get("settings")),
+        settings=replace(
+            settings_from_wire(given.get("settings")), locality=locality_from(given.get("locality"))
+        ),
         known=Told(0, True, []) if known is None else parse_list(known),
         orders=Path(environ.get("TMPDIR") or tempfile.gettempdir()),
         mgmt=_address(mgmt, "mgmt") if mgmt is not None else None,
@@ -60,6 +65,7 @@
         peer_listen=_address(given["peer_listen"], "peer_listen") if "peer_listen" in given else None,
         peers=tuple(_address(each, "peers[]") for each in _listed(given.get("peers", []), "peers")),
         peer_plane=_tuning(given.get("peer_plane")),
+        duties=_terms(given.get("duties")),
     )
 
 
@@ -88,6 +94,23 @@
     return Tuning(**{name: type(getattr(Tuning(), name))(each) for name, each in knobs.items()})
 
 
+def _terms(value: Any) -> Terms | None:
+    """The operators' `duties` object: `on` (false unless told), and the leases' times in ms."""
+    if value is None:
+        return None
+    from topazbank.lease.core import Terms
+
+    knobs = ("term_ms", "renew_ms", "skew_ms", "retry_ms")
+    if not isinstance(value, dict) or set(value) - {"on", *knobs}:
+        raise ValueError(f"duties: an object of on, {', '.join(knobs)} is needed")
+    for name in knobs:
+        if name in value and (type(value[name]) is not int or not 0 <= value[name] <= 600_000):
+            raise ValueError(f"duties.{name}: whole milliseconds up to 600000 are needed")
+    times = {name.replace("_ms", "_us"): 1000 * value[name] for name in knobs if name in value}
+    terms = Terms(**times)
+    return terms if value.get("on", False) is True else None
+
+
 def _address(value: Any, name: str) -> tuple[str, int]:
     if not isinstance(value, str):
         raise ValueError(f"{name}: an address is needed")
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -12,13 +12,14 @@
 import heapq
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
 from topazbank import interface as api
-
-# -- Constants: ratios of what the settings give or of what was observed ------------------------------
+from topazbank.interface import Outcome
+from topazbank.locality import Zone, Zones
+from topazbank.rates import Rate
 
 DRAWN = 4  # k: counts are mostly small here, where two looks find too little
 REACH = 4.0  # a balancer at rest draws from this many servers: a choice, yet few enough to know them
@@ -75,12 +76,14 @@
 WINDOW_AIMS = 0.5  # at twice the level the window shrinks e-fold in this many of the longest aim
 YOUNG_AIMS = 1.0  # how many of the longest aim must have passed before the window is first sized
 MIX_AIMS = 4.0  # what is asked by class and tenant is averaged over this many of the longest aim
+DOUBT = 0.5  # of a server's odds, for each peer that holds something against it
+DOUBTERS_MOST = 2  # more peers change nothing: a few that lie do no more than this
+SLOW_PACE = 2.5  # peers are told of servers that take this many usual times
+SLOW_OVER = 1.5  # until they take no more than this
 FREE = 0.5  # up to this part of the window all are let in, and the window does not grow
 STEEP = 4.0  # pressure at a full window: of the typical requests one in fifty is let in
 SLANT = 2.0  # the least worthy feel this many times the pressure, the most worthy almost none
 
-# -- Records ------------------------------------------------------------------------------------------
-
 
 Flow = tuple[str, str | None]  # the class and tenant of a request
 
@@ -92,8 +95,6 @@
     name: str
     place: float  # chance, drawn once: this balancer's order of the servers
     zone: str = ""
-    cell: int = 0
-    nominal: float = 1.0
     pace: float = 1.0  # how long it takes, relative to the usual
     state: api.ServerState = api.ServerState.GONE
     excluded: bool = False  # by the operators: it counts as draining, whatever its state
@@ -109,6 +110,9 @@
     ejected_until: int | None = None  # None: not ejected
     turned_away: dict[Flow, tuple[int, int]] = field(default_factory=dict)  # until when, how often in a row
     trial: Attempt | None = None  # the single attempt that may bring it back
+    doubts: dict[str | None, int] = field(default_factory=dict)  # peers against it by class; 0: proved wrong
+    told: dict[str | None, api.Verdict] = field(default_factory=dict)  # what peers know from here, by class
+    back_at: int | None = None  # when it was readmitted: it eases in, where zones are on
 
     def is_ready(self) -> bool:
         return self.state is api.ServerState.READY and not self.excluded
@@ -127,6 +131,7 @@
     may_have_run: bool = True  # until an outcome proves that it did not
     started: bool = False
     felt: bool = False  # whether its lateness was counted as a sign of overload
+    silent: bool = False  # whether its server was found silent by it
 
 
 @dataclass(slots=True, eq=False)
@@ -150,9 +155,6 @@
         return any(each.pending for each in self.attempts)
 
 
-# -- The balancer -------------------------------------------------------------------------------------
-
-
 class Balancer:
     """The decisions of one instance.  Feed it events in order; carry out the actions it returns in order."""
 
@@ -171,11 +173,15 @@
         self._back: dict[Server, None] = {}  # servers back from their exclusion and not used since
         self._left: dict[str, None] = {}  # names that were listed once, the last to leave at the end
         self._ready: list[Server] = []
+        self.zones = Zones(settings.locality, settings.zone, self._longest_aim, settings.rules.cold_us)
+        self._doubted = False  # whether peers hold anything against any server
+        self._tier_asked: Mapping[str, float] = {}  # of the other balancers, by tenant, a second
         self._requests: dict[int, Request] = {}
-        full_proves = () if settings.rules.late_shedding else (api.Outcome.FULL,)
-        self._proves_unrun = (api.Outcome.DIAL_FAILED, api.Outcome.UNSENT, *full_proves)
-        # Of each entry: due, order, request (or _ASK), attempt (or _WHOLE).
-        self._agenda: list[tuple[int, int, int, int]] = []
+        full_proves = () if settings.rules.late_shedding else (Outcome.FULL,)
+        self._proves_unrun = (Outcome.DIAL_FAILED, Outcome.UNSENT, *full_proves)
+        self._agenda: list[
+            tuple[int, int, int, int]
+        ] = []  # due, order, request (or _ASK), attempt (or _WHOLE)
         self._agenda_order = 0
         self._timer_due: int | None = None
         self._beat = max(int(BEAT_AIMS * min(each.aim_us for each in settings.classes)), settings.tick_us)
@@ -191,7 +197,6 @@
         self._ejected: list[Server] = []
         self._remote = 1.0  # odds of a server in another zone, as of _remote_at
         self._bearable = 0.0  # what a warm server of mean size serves for this balancer, as of _bearable_at
-        self._mean_size = 1.0
         self._bearable_at = self._remote_at = -1
         self._answers = 0  # answers so far, from all servers
         self._extra = EXTRA_PER_REQUEST * EXTRA_SAVED / 2
@@ -210,7 +215,7 @@
         self._bound = False  # whether the window refused anything since it was last sized
         self._mean_load = 0.0  # own requests in flight, averaged
         self._load_at = self._sized_at = 0
-        self._mix: dict[tuple[str, str | None], Mix] = {}
+        self.mix: dict[Flow, Rate] = {}  # what is asked, by class and tenant
         self._plays: dict[type[Any], Callable[[Any], None]] = {  # no messages are sent, so none are awaited
             api.AttemptEnded: self._attempt_ended,
             api.RequestArrived: self._request_arrived,
@@ -221,6 +226,13 @@
             api.BodyEnded: self._body_ended,
             api.ExclusionAsked: self._exclusion_asked,
             api.ExclusionsHeard: lambda event: self._exclude(frozenset(event.servers)),
+            api.VerdictsHeard: self._verdicts_heard,
+            api.TierAsked: lambda event: setattr(self, "_tier_asked", event.per_s),
+            api.ZonesOrdered: lambda event: self.zones.ordered(self._now, dict(event.orders)),
+            api.ProbingHeard: self._probing_heard,
+            api.ZoneBack: lambda event: self._zone_back(self.zones.by_name.get(event.zone)),
+            api.ProbeEnded: self._probe_ended,
+            api.Recalled: self._recalled,
         }
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
@@ -238,20 +250,8 @@
         self._arm_timer()
         return self._actions
 
-    def describe(self) -> str:
-        """The state behind refusals, for the operators' log."""
-        return (
-            f"load {self._load()} of window {self._window:.1f}, aim spent {self._spent:.2f}, "
-            f"late {self._late:.2f}; of {len(self._ready)} ready {len(self._ejected)} ejected, "
-            f"{sum(self._is_cold(each) for each in self._ready)} cold, {len(self._excluded)} excluded"
-        )
-
     def _notice_stall(self) -> None:
-        """Notice that this balancer itself stood still: a timer of its own came far too late.
-
-        What it finds on its return came at times it cannot tell, so nothing is learned from them: else it
-        would take its own absence for slow servers, eject them and refuse what they could serve.
-        """
+        """Notice that this balancer itself stood still, so as to learn nothing of what came meanwhile."""
         late = self._now - self._beat_due
         if self._beat_due and late > STALL_BEATS * self._beat:
             self._absent_us += late
@@ -267,10 +267,7 @@
     # -- The server list ------------------------------------------------------------------------------
 
     def _ask(self) -> None:
-        """Follow the list where it must be asked for.
-
-        A call that is never answered is made again: an instance may not pass `ask_within_us` unheard.
-        """
+        """Follow the list where it must be asked for; a call that is never answered is made again."""
         if self._settings.discovery is api.Discovery.ON_REQUEST:
             self._actions.append(api.Follow(True))
             self._ask_in(ASK_AGAIN_MOST * self._settings.rules.ask_within_us)
@@ -281,19 +278,12 @@
         self._schedule(self._ask_due, _ASK, _WHOLE)
 
     def _ask_spread(self) -> float:
-        """The time over which the calls of the whole group spread out.
-
-        Guards against a discovery that all ask in step: it works off calls that were given up long ago, and
-        the calls that repeat them wait behind those and fail as well, over and over.
-        """
+        """The time over which the calls of the whole group spread out: asked in step, discovery drowns."""
         late = max(self._settings.group_size - ASK_AT_ONCE, 0)
         return ASK_SLOT * self._settings.rules.ask_within_us * late
 
     def _ask_again_later(self) -> None:
-        """After a failed call: wait twice as long each time, with jitter, so that instances spread out.
-
-        Four times `ask_within_us` is allowed after a failed call.
-        """
+        """After a failed call: wait twice as long each time, with jitter, up to what the rules allow."""
         allowed, spread = self._settings.rules.ask_within_us, self._ask_spread()
         wait = max(ASK_AGAIN * allowed, spread) * 2**self._failed_calls
         wait = min(wait, max(ASK_AGAIN_MOST * allowed, min(4.0 * spread, 2.0 * allowed)))
@@ -305,8 +295,7 @@
             self._ask_again_later()
             return
         if event.kind is not api.ListKind.REMEMBERED:
-            self._failed_calls = 0
-            self._ask_due = None
+            self._failed_calls, self._ask_due = 0, None
         if event.kind is not api.ListKind.CHANGES:
             listed = {line.server for line in event.servers}
             for name in self._servers.keys() - listed:
@@ -320,10 +309,7 @@
         self._forget_gone()
         self._ready = [each for each in self._servers.values() if each.is_ready()]
         self._ready.sort(key=lambda each: each.place)
-        mean_size = sum(each.nominal for each in self._ready) / max(len(self._ready), 1)
-        for server in self._ready:
-            if server.pace <= 0.0:  # until answers tell, a server is as quick as its nominal size
-                server.pace = mean_size / server.nominal if server.nominal > 0.0 else 1.0
+        self.zones.take(self._ready)
 
     def _forget_gone(self) -> None:
         """Forget servers that left: each deploy brings new names.  One that comes back is a new server."""
@@ -335,6 +321,8 @@
                 if len(self._left) > LEFT_KNOWN:
                     del self._left[next(iter(self._left))]
                 self._back.pop(each, None)
+                for name in list(each.told):
+                    self._tell(each, name, api.Verdict.CLEARED)
                 if each in self._ejected:
                     self._ejected.remove(each)
 
@@ -344,10 +332,10 @@
             server = Server(line.server, self._random.random())
             self._servers[line.server] = server
             server.excluded = line.server in self._excluded
-        server.zone, server.cell = line.zone, line.cell
-        if server.state is api.ServerState.GONE or line.nominal != server.nominal:
-            server.pace = 0.0  # to be set by its nominal size
-        server.nominal, server.state = max(line.nominal, 0.0), line.state
+        server.zone = line.zone or self._settings.locality.servers.get(line.server, "")
+        if server.state is api.ServerState.GONE:
+            server.pace = 1.0  # until answers tell: this deployment's list is silent on size
+        server.state = line.state
         if line.started_at is not None and line.started_at != server.started_at:
             server.started_at = line.started_at
             self._turned_cold(server, line.started_at)
@@ -385,8 +373,7 @@
 
     def _request_arrived(self, event: api.RequestArrived) -> None:
         kind = self._classes.get(event.service_class)
-        if kind is None:
-            # A class that the settings do not name: the least is assumed of it.
+        if kind is None:  # the settings do not name it: the least is assumed of it
             allowed = max(event.remaining_us, 1)
             kind = api.ServiceClass(event.service_class, allowed, allowed)
         self._arrivals.add(self._now, 1.0)
@@ -398,16 +385,13 @@
         self._requests[event.request] = request
         if not event.body_open:
             self._start_clock(request, event.remaining_us)
-        if self._overloaded_for(request, event.tenant) or self._is_stale(kind, event.remaining_us):
+        if self._overloaded_for(request) or self._is_stale(kind, event.remaining_us):
             self._finish(request)
         else:
             self._place(request)
 
     def _is_stale(self, kind: api.ServiceClass, remaining_us: int) -> bool:
-        """Whether a request waited out its aim in an own stall, and a late answer is worth nothing.
-
-        A try starts with the same time at all clients, more or less: what is missing of it was waited.
-        """
+        """Whether a request waited out its aim in an own stall, and a late answer is worth nothing."""
         longest = self._longest_try[kind.name] = max(self._longest_try.get(kind.name, 0), remaining_us)
         return self._now == self._back_at and kind.late_worth <= 0.0 and longest - remaining_us >= kind.aim_us
 
@@ -421,9 +405,8 @@
     def _place(self, request: Request) -> None:
         """Send the request to the best of k, or answer it where nothing is left to try."""
         server = self._choose(request)
-        if server is None or not self._send(request, server):
-            if not request.is_out():
-                self._finish(request)
+        if (server is None or not self._send(request, server)) and not request.is_out():
+            self._finish(request)
 
     def _request_gone(self, event: api.RequestGone) -> None:
         request = self._requests.get(event.request)
@@ -434,8 +417,7 @@
         request = self._requests.get(event.request)
         if request is None or event.attempt >= len(request.attempts):
             return
-        attempt = request.attempts[event.attempt]
-        if attempt.pending and not attempt.started:
+        if (attempt := request.attempts[event.attempt]).pending and not attempt.started:
             attempt.started = True
             self._release(attempt)  # its server has done the work; what is left is to pass it on
             self._call_off(request)
@@ -458,20 +440,14 @@
         self._start_clock(request, event.remaining_us)
         for each in request.attempts:
             if each.pending:
-                each.sent_at, each.absent_before, each.answers_before = (
-                    self._now,
-                    self._absent_us,
-                    self._answers,
-                )
+                each.sent_at, each.absent_before = self._now, self._absent_us
+                each.answers_before = self._answers
                 self._schedule(self._now + self._patience(request, each.server), request.ident, each.index)
 
     # -- Overload: refuse early, the least worthy first -----------------------------------------------
 
     def _feel(self, spent: float) -> None:
-        """Follow how much of its aim the typical answer takes, and size the window by it.
-
-        A median, so that a few slow servers or heavy requests are not taken for an overloaded fleet.
-        """
+        """Follow how much of its aim the typical answer takes (a median), and size the window by it."""
         (self._in_time if spent <= 1.0 else self._too_late).add(self._now, 1.0)
         if self._floor is None:
             self._spent = self._floor = min(spent, AIM_SPENT)
@@ -513,8 +489,7 @@
         # The fewer answers there are, the more of the median is chance: it must be further off to count.
         chance = (stretch - 1.0) / (STRETCH_MOST - 1.0)
         level = max(level, AIM_SPENT + chance * (AIM_SPENT_FEW - AIM_SPENT))
-        excess = (self._spent - level) / level
-        excess = max(-1.0, min(excess, 1.0))
+        excess = max(-1.0, min((self._spent - level) / level, 1.0))
         if excess > 0.0 and self._late < LATE_ALLOWED:
             return  # slower than usual, yet in time
         if excess > 0.0:
@@ -528,10 +503,7 @@
         self._window = max(self._window * change, min(borne, self._window), LEAST_WINDOW)
 
     def _load(self) -> int:
-        """Own requests in flight, with those given up on, at servers that are not ejected.
-
-        Running counts, not a sum over the list: it is asked for at every event.
-        """
+        """Own requests in flight, with those given up on, at servers that are not ejected."""
         while self._ghosts and self._ghosts[0] <= self._now:
             heapq.heappop(self._ghosts)
         return self._pending - self._stuck + len(self._ghosts)
@@ -541,24 +513,18 @@
         certain = min(self._window / MANY, 1.0)
         return (self._mean_load + certain * (self._load() - self._mean_load)) / self._window
 
-    def _overloaded_for(self, request: Request, tenant: str | None) -> bool:
-        """Whether to refuse a new request: likelier under more pressure, and for less worth.
-
-        Guards against collapse: a fleet that answers all too late serves nobody, and clients repeat
-        what fails late.  As the window fills, the part let in falls by powers, sooner for the less worthy.
-        """
-        kind = request.kind
-        mine = self._mix.get((kind.name, tenant))
-        if mine is None:
-            mine = self._mix[(kind.name, tenant)] = Mix(kind, tenant, Rate(MIX_AIMS * self._longest_aim))
-        mine.rate.add(self._now, 1.0)
+    def _overloaded_for(self, request: Request) -> bool:
+        """Whether to refuse a new request: likelier under more pressure, and for less worth."""
+        if request.flow not in self.mix:
+            self.mix[request.flow] = Rate(MIX_AIMS * self._longest_aim)
+        self.mix[request.flow].add(self._now, 1.0)
         if max(self._arrivals.per_us(self._now) * self._longest_aim, self._load()) < MANY / 2:
-            return self._sheds_by_count(self._standing(mine))
+            return self._sheds_by_count(self._standing(request.flow))
         fill = self._fill()
         if fill <= FREE:
             return False
         pressure = STEEP * (fill - FREE) / (1.0 - FREE)
-        let_in = math.exp(-SLANT * pressure * (1.0 - self._standing(mine)))
+        let_in = math.exp(-SLANT * pressure * (1.0 - self._standing(request.flow)))
         if fill < 1.0 and self._random.random() < let_in:
             return False
         self._bound = True
@@ -576,30 +542,28 @@
             return True
         return False
 
-    def _standing(self, mine: Mix) -> float:
-        """The part of the traffic that is worth less, counting half of what is worth the same.
-
-        A request is worth what its class is, less what its tenant asks beyond its share.  Sidecars see
-        different parts of the traffic, so only the tenants' proportions are compared.
-        """
-        mixes = list(self._mix.values())
-        rates = [each.rate.per_us(self._now) for each in mixes]
-        all_asked = sum(rates)
-        asked: dict[str | None, float] = {}
-        for each, rate in zip(mixes, rates, strict=True):
-            asked[each.tenant] = asked.get(each.tenant, 0.0) + rate
-        worths = [self._worth(each, asked[each.tenant], all_asked) for each in mixes]
-        own = worths[mixes.index(mine)]
-        below = sum(rate for rate, worth in zip(rates, worths, strict=True) if worth < own)
-        same = sum(rate for rate, worth in zip(rates, worths, strict=True) if worth == own)
+    def _standing(self, mine: Flow) -> float:
+        """The part of the traffic that is worth less, counting half of what is worth the same."""
+        rates = {flow: rate.per_us(self._now) for flow, rate in self.mix.items()}
+        all_asked, asked = sum(rates.values()), dict[str | None, float]()
+        for (_, tenant), rate in rates.items():
+            asked[tenant] = asked.get(tenant, 0.0) + rate
+        worths = {flow: self._worth(flow, asked[flow[1]], all_asked) for flow in rates}
+        below = sum(rate for flow, rate in rates.items() if worths[flow] < worths[mine])
+        same = sum(rate for flow, rate in rates.items() if worths[flow] == worths[mine])
         return (below + 0.5 * same) / all_asked if all_asked > 0.0 else 0.5
 
-    def _worth(self, mix: Mix, asked: float, all_asked: float) -> float:
-        tenant = self._tenants.get(mix.tenant or "")
+    def _worth(self, flow: Flow, asked: float, all_asked: float) -> float:
+        """What its class is worth, less what its tenant asks beyond its share (of the tier, if told)."""
+        tenant, kind = self._tenants.get(flow[1] or ""), self._classes.get(flow[0])
+        worth = kind.worth if kind is not None else 1.0
         if tenant is None or asked <= 0.0:
-            return mix.kind.worth
+            return worth
         inside = min(1.0, all_asked * tenant.share / self._all_shares / asked)
-        return mix.kind.worth * (inside + (1.0 - inside) * self._settings.over_share_worth)
+        others = self._tier_asked.get(tenant.name)
+        if others is not None and tenant.quota_per_s > 0.0:
+            inside = min(1.0, tenant.quota_per_s / (others + asked * 1e6))
+        return worth * (inside + (1.0 - inside) * self._settings.over_share_worth)
 
     # -- The draw -------------------------------------------------------------------------------------
 
@@ -608,23 +572,29 @@
         trial = self._trial_due(request)
         if trial is not None:
             return trial
-        pool = self._within_reach(self._ready, request)
-        if not pool:
-            return None
         if self._remote_at != self._now:
             self._remote_at, self._remote = self._now, self._weigh_zones()
+        pool: list[Server] = []
+        if self.zones.on:  # the own zone's pace is its headroom
+            strength = (1.0 - self._remote) / (1.0 - REMOTE_LEAST)
+            pool = self._within_reach(self.zones.nearby(self._stagger.random(), strength), request)
+        if len(pool) < 2:
+            pool = self._within_reach(self._ready, request)
+        if not pool:
+            return None
         power = min(max(1.0, float(request.size)), HEAVY_POWER)
-        here, away = self._settings.zone, self._remote
+        here, away = self.zones.here, self._remote
         odds = [self._odds(each, power) * (1.0 if each.zone == here else away) for each in pool]
+        if self._doubted:
+            doubts = [DOUBT ** self._doubters(each, request.kind.name) for each in pool]
+            odds = [odd * doubt for odd, doubt in zip(odds, doubts, strict=True)]
         drawn = self._drawn(pool, odds, DRAWN << request.said_full)
+        if self.zones.on:  # what eases back in counts as busier than it is, by its weight
+            return min(drawn, key=lambda e: ((self._busy(e) + 1) / self.zones.weight(self._now, e), e.pace))
         return min(drawn, key=lambda each: (self._busy(each), each.pace))
 
-    def _within_reach(self, servers: list[Server], request: Request) -> list[Server]:
-        """The first eligible servers in this balancer's own order, as many as its traffic can know.
-
-        Guards against a large fleet seen from many small balancers: each would hold a connection to each
-        server, more than servers accept, and learn next to nothing of any.  A busy balancer reaches all.
-        """
+    def _within_reach(self, servers: Sequence[Server], request: Request) -> list[Server]:
+        """The first eligible servers in this balancer's own order, as many as its traffic can know."""
         reach = self._reach()
         pool, shut = list[Server](), list[Server]()
         for each in servers:
@@ -639,47 +609,33 @@
         return int(REACH + REACH_PER_BUSY * self._mean_load)
 
     def _busy(self, server: Server) -> int:
-        """Own requests in flight at a server, with those given up on: they may well run on there.
-
-        Guards against a slow or hung server that looks empty because its attempts were called off.
-        """
+        """Own requests in flight at a server, with those given up on: they may well run on there."""
         if server.ghosts:
             server.ghosts = [until for until in server.ghosts if until > self._now]
         return server.in_flight + len(server.ghosts)
 
     def _drawn(self, pool: list[Server], odds: list[float], count: int) -> list[Server]:
         """Draw distinct servers by their odds; the order is random too, so the first of equals is chance."""
-        drawn = []
-        left = list(range(len(pool)))
-        total = sum(odds)
+        drawn, left, total = list[Server](), list(range(len(pool))), sum(odds)
         for _ in range(min(count, len(pool))):
-            point = self._random.random() * total
-            at = 0
+            point, at = self._random.random() * total, 0
             while at < len(left) - 1 and point >= odds[left[at]]:
-                point -= odds[left[at]]
-                at += 1
-            index = left.pop(at)
-            total -= odds[index]
-            drawn.append(pool[index])
+                point, at = point - odds[left[at]], at + 1
+            total -= odds[left[at]]
+            drawn.append(pool[left.pop(at)])
         return drawn
 
     def _odds(self, server: Server, power: float) -> float:
-        """Slower servers are drawn less: with few requests most counters are zero, and the draw decides.
-
-        Still less for heavy requests, which only quick servers can answer in time.
-        """
+        """Slower servers are drawn less, by heavy requests still less; cold ones by their warmth."""
         pace = math.pow(max(server.pace, 1.0 / PACE_CLIP), power)
         return 1.0 / pace if server.cold_since is None else self._warmth(server) / pace
 
     def _weigh_zones(self) -> float:
-        """Odds of servers in other zones: less while the own zone is as quick as theirs.
-
-        Spares crossings without the trap of a zone that has more traffic than servers: as the own zone's pace
-        falls behind, or answers come late anywhere, the odds even out.
-        """
-        if self._settings.prices.cross_zone <= 0.0 or self._late >= LATE_ALLOWED or self._fill() > FREE:
+        """Odds of servers in other zones: less while the own zone is as quick as theirs and none is late."""
+        priced = self.zones.on or self._settings.prices.cross_zone > 0.0
+        if not priced or self._late >= LATE_ALLOWED or self._fill() > FREE:
             return 1.0  # room anywhere is worth more than a crossing
-        here, pool = self._settings.zone, [each for each in self._ready if each.ejected_until is None]
+        here, pool = self.zones.here, [each for each in self._ready if each.ejected_until is None]
         near = [each.pace for each in pool if each.zone == here]
         far = [each.pace for each in pool if each.zone != here]
         if not near or not far or sum(far) <= 0.0:
@@ -688,13 +644,15 @@
         return max(REMOTE_LEAST, min(behind / REMOTE_EVEN, 1.0))
 
     def _eligible(self, server: Server, request: Request) -> bool:
-        if server.ejected_until is not None:
+        if server.ejected_until is not None or (self.zones.on and not self.zones.is_open(server.zone)):
             return False
         if request.attempts:
-            if server in request.tried or not self._in_group(request, server):
+            if server in request.tried:
                 return False
-            if any(each.pending and each.server is server for each in request.attempts):
-                return False  # a second copy goes elsewhere
+            for each in request.attempts:
+                same = each.server is server or (each.silent and each.server.zone == server.zone)
+                if each.pending and same:
+                    return False  # a second copy goes elsewhere
         return server.cold_since is None or self._cold_room(server, request.cost)
 
     # -- The send gate --------------------------------------------------------------------------------
@@ -704,11 +662,9 @@
         limits = self._settings.limits
         if request.answered or self._now >= request.answer_by:
             return False  # rule 1: nothing after the final answer, nothing that cannot be answered in time
-        if len(request.attempts) >= limits.max_attempts:
-            return False
-        if not limits.second_copies and request.is_out():
+        if len(request.attempts) >= limits.max_attempts or not self._may_run_again(request):
             return False  # rule 2
-        if not self._may_run_again(request) or not self._in_group(request, server):
+        if not limits.second_copies and request.is_out():
             return False  # rule 2
         if not server.is_ready():
             return False  # rule 3: at once on hearing, without use of the grace
@@ -732,23 +688,8 @@
         """Whether the request's class and its body let another attempt out now."""
         if request.spent:
             return False
-        first_maybe = next((each for each in request.attempts if each.may_have_run), None)
-        if first_maybe is None or request.kind.repeat is api.Repeat.SAFE:
-            return True
-        if request.kind.repeat is api.Repeat.UNSAFE:
-            return False
-        # Keyed: servers forget; one tick less, since the clock is read once a tick.
-        return self._now + self._settings.tick_us < first_maybe.sent_at + request.kind.memory_us
-
-    @staticmethod
-    def _in_group(request: Request, server: Server) -> bool:
-        """Whether a keyed request that may have run would have its repeat dropped at this server."""
-        if request.kind.repeat is not api.Repeat.KEYED or request.kind.group is api.Group.ALL:
-            return True
-        first = next((each.server for each in request.attempts if each.may_have_run), server)
-        return (
-            first.zone == server.zone if request.kind.group is api.Group.ZONE else first.cell == server.cell
-        )
+        ran = any(each.may_have_run for each in request.attempts)
+        return not ran or request.kind.repeat is api.Repeat.SAFE  # keyed ones count as unsafe: none is here
 
     # -- The final answer gate ------------------------------------------------------------------------
 
@@ -757,8 +698,6 @@
         if request.answered:
             return
         harmless = request.kind.repeat is api.Repeat.SAFE or not any(a.may_have_run for a in request.attempts)
-        if request.kind.repeat is api.Repeat.KEYED and request.kind.group is api.Group.ALL:
-            harmless = True
         self._actions.append(api.Refuse(request.ident) if harmless else api.Fail(request.ident))
         self._close(request)
 
@@ -783,8 +722,7 @@
         request = self._requests.get(event.request)
         if request is None or event.attempt >= len(request.attempts):
             return
-        attempt = request.attempts[event.attempt]
-        if not attempt.pending:
+        if not (attempt := request.attempts[event.attempt]).pending:
             return
         attempt.pending = False
         attempt.may_have_run = event.outcome not in self._proves_unrun
@@ -792,7 +730,10 @@
         if not attempt.started:
             self._release(attempt)
         self._judge(request, attempt, event.outcome)
-        if event.outcome in (api.Outcome.EXPIRED, api.Outcome.CANCELLED):
+        if event.outcome is Outcome.CANCELLED and attempt.silent and event.answered:
+            if attempt.server.last_answer_at < attempt.sent_at:
+                self._felt(attempt.server, attempt.sent_at, False)  # a copy elsewhere was answered meanwhile
+        if event.outcome in (Outcome.EXPIRED, Outcome.CANCELLED):
             if not (attempt.felt or request.answered or event.answered):
                 self._too_late.add(self._now, 1.0)
             until = self._now + int(GHOST_LIFE * event.elapsed_us)
@@ -801,29 +742,32 @@
                 heapq.heappush(self._ghosts, until)
             if event.elapsed_us > self._usual(request) * attempt.server.pace and self._now != self._back_at:
                 self._pace(attempt.server, request, event.elapsed_us)
-        if event.outcome is api.Outcome.ERROR:
+        if event.outcome is Outcome.ERROR:
             # A quick error must not look like a quick server: it counts as the slowest answer there is.
             self._pace(attempt.server, request, int(PACE_CLIP * self._usual(request)))
-            if request.flow in attempt.server.turned_away:  # again, none answered between: just these fail
+            again = request.flow in attempt.server.turned_away  # none answered between: just these fail
+            if again or self._doubters(attempt.server, request.kind.name):  # peers saw it: once is enough
                 self._turned_away(request, attempt.server)
+                self._tell(attempt.server, request.kind.name, api.Verdict.FAILING, 1 + again)
             else:
                 attempt.server.turned_away[request.flow] = (self._now, 0)
-        if event.outcome is api.Outcome.DELIVERED:
+        if event.outcome is Outcome.DELIVERED:
             self._served_aims.add(self._now, request.kind.aim_us)
-        if event.outcome is api.Outcome.DELIVERED and self._now != self._back_at:
+        if event.outcome is Outcome.DELIVERED and self._now != self._back_at:
             self._time(attempt.server, request, event.elapsed_us)
             if not attempt.felt:
                 self._feel(event.elapsed_us / request.kind.aim_us)
             attempt.server.turned_away.pop(request.flow, None)
-        elif event.outcome is api.Outcome.FULL:
+        elif event.outcome is Outcome.FULL:
             self._turned_away(request, attempt.server)
+            self._tell(attempt.server, request.kind.name, api.Verdict.FULL)
             self._feel(LOST_SPENT)
         if event.answered:
             if not request.answered:
                 self._close(request)
         elif not request.answered:
             request.tried.append(attempt.server)
-            if event.outcome is api.Outcome.FULL:
+            if event.outcome is Outcome.FULL:
                 request.said_full += 1
                 self._place(request)
             elif self._extra >= 1.0 and event.outcome is not _FAULTY and self._may_run_again(request):
@@ -834,11 +778,7 @@
         self._forget_if_over(request)
 
     def _turned_away(self, request: Request, server: Server) -> None:
-        """Learn from a full answer.
-
-        Guards against servers that admit little of one class or tenant: its requests go elsewhere for a
-        while, longer each time, those of others stay.  Where too few servers are left they are tried again.
-        """
+        """Keep a class and tenant away from a server that turned it away, for longer each time."""
         times = server.turned_away.get(request.flow, (0, 0))[1]
         wait = min(EJECT_AIMS * 2**times, EJECT_AIMS_MOST) * self._longest_aim
         if not self._may_run_again(request):
@@ -846,8 +786,6 @@
         until = self._now + int(wait * (0.75 + 0.5 * self._random.random()))
         server.turned_away[request.flow] = (until, min(times + 1, 8))
 
-    # -- Pace: how long a server takes, relative to the usual for such requests -----------------------
-
     def _usual(self, request: Request) -> float:
         """The usual time of such a request, over all servers."""
         return self._norms.get((request.kind.name, request.size), UNSEEN_AIMS * request.kind.aim_us)
@@ -855,6 +793,10 @@
     def _pace(self, server: Server, request: Request, elapsed_us: int) -> None:
         ratio = min(elapsed_us / max(self._usual(request), 1.0), PACE_CLIP)
         server.pace += PACE_STEP * self._stretch() * (ratio - server.pace)
+        if server.pace > SLOW_PACE and None not in server.told:
+            self._tell(server, None, api.Verdict.SLOW)
+        elif server.pace < SLOW_OVER and server.told.get(None) is api.Verdict.SLOW:
+            self._tell(server, None, api.Verdict.CLEARED)
 
     def _time(self, server: Server, request: Request, elapsed_us: int) -> None:
         kind = (request.kind.name, request.size)
@@ -876,8 +818,7 @@
         """
         server = attempt.server
         silent, answered = server.last_answer_at <= attempt.sent_at, self._answers - attempt.answers_before
-        if self._now == self._back_at:
-            # Its answer may be among what came meanwhile.
+        if self._now == self._back_at:  # its answer may be among what came meanwhile
             self._schedule(self._now + self._settings.tick_us, request.ident, attempt.index)
             return
         waited = self._now - attempt.sent_at - (self._absent_us - attempt.absent_before)
@@ -890,56 +831,67 @@
         enough = max(SILENCE * self._patience(request, server), SILENT_AIMS * request.kind.aim_us)
         if silent and waited < enough:
             self._schedule(self._now + int(enough) - waited, request.ident, attempt.index)
-        elif silent and server.ejected_until is None and answered >= QUIET_PEERS:
-            self._eject(server, "silent", SILENT_MOST)
-        silent = silent and server.ejected_until is not None
+        elif silent and not attempt.silent:
+            attempt.silent = self.zones.on  # another zone's answer to a copy will tell
+            if answered >= QUIET_PEERS:
+                if server.ejected_until is None:
+                    self._eject(server, "silent", SILENT_MOST)
+                self._felt(server, attempt.sent_at, False)
+        if silent and (server.ejected_until is not None or attempt.silent):
+            self._save(request, attempt)
+
+    def _save(self, request: Request, attempt: Attempt) -> None:
+        """Send a request elsewhere too, or instead, whose attempt will hardly be answered."""
         limits = self._settings.limits
         if not self._may_run_again(request) or len(request.attempts) >= limits.max_attempts:
             return  # waiting is all that is left
-        if limits.second_copies:
-            if silent and self._extra >= 1.0:
-                self._extra -= 1.0
-                self._place(request)
-        elif silent and limits.may_cancel and self._extra >= 1.0:
+        if limits.second_copies and self._extra >= 1.0:
+            self._extra -= 1.0
+            self._place(request)
+        elif not limits.second_copies and limits.may_cancel and self._extra >= 1.0:
             self._actions.append(api.Cancel(request.ident, attempt.index))  # its end draws again
 
     # -- Outlier ejection -----------------------------------------------------------------------------
 
-    def _judge(self, request: Request, attempt: Attempt, outcome: api.Outcome) -> None:
+    def _judge(self, request: Request, attempt: Attempt, outcome: Outcome) -> None:
         """Learn of a server's health from the end of an attempt."""
         server = attempt.server
         trial = server.trial is attempt
         if trial:
             server.trial = None
-        if outcome is api.Outcome.DELIVERED:
+        if outcome is Outcome.DELIVERED:
             server.strikes = 0
             server.last_answer_at = self._now
             self._answers += 1
+            for name in (None, request.kind.name):
+                if name in server.doubts:
+                    server.doubts[name] = 0  # own evidence wins
+            self._tell(server, request.kind.name, api.Verdict.CLEARED)
             if not self._is_cold(server):
                 self._served_warm.add(self._now, request.cost)  # overload serves the light ones
             if server.ejected_until is not None:
                 self._readmit(server)
-        elif outcome in (
-            api.Outcome.EXPIRED,
-            api.Outcome.DROPPED,
-            api.Outcome.DIAL_FAILED,
-            api.Outcome.ERROR,
-        ):
-            if outcome is api.Outcome.EXPIRED and server.last_answer_at > attempt.sent_at:
+            self._felt(server, attempt.sent_at, True)
+        elif outcome in _FAILURES:
+            if outcome is Outcome.EXPIRED and server.last_answer_at > attempt.sent_at:
                 return  # it is slow, not sick: it answered others meanwhile
             server.strikes += 1
-            if trial or (server.strikes >= STRIKES and server.ejected_until is None):
+            doubted = min(self._doubters(server, request.kind.name), STRIKES - 1)
+            if trial or (server.strikes + doubted >= STRIKES and server.ejected_until is None):
                 self._eject(server, outcome.value)
+            if outcome is not Outcome.ERROR:  # who errs is there
+                self._felt(server, attempt.sent_at, False)
 
     def _eject(self, server: Server, reason: str, most: float = EJECTED_MOST) -> None:
         if server.ejected_until is None:
-            if self._servers.get(server.name) is not server or len(self._ejected) + 1 > most * min(
-                len(self._ready), self._reach()
-            ):
+            room = most * min(len(self._ready), self._reach())
+            if self._servers.get(server.name) is not server or len(self._ejected) + 1 > room:
                 return
             self._ejected.append(server)
             self._stuck += server.in_flight
             self._actions.append(api.Log(f"ejected {server.name}: {reason}"))
+            self._tell(server, None, api.Verdict.EJECTED, server.strikes)
+            self.zones.changed()
         aims = min(EJECT_AIMS * 2**server.ejections, EJECT_AIMS_MOST)
         server.ejections = min(server.ejections + 1, 8)
         spread = 0.75 + 0.5 * self._random.random()
@@ -951,6 +903,94 @@
         self._stuck -= server.in_flight
         server.ejections = server.strikes = 0
         self._actions.append(api.Log(f"readmitted {server.name}"))
+        server.back_at = self._now
+        self._tell(server, None, api.Verdict.CLEARED)
+        self.zones.changed()
+
+    # -- What peers hold, and what they are told ------------------------------------------------------
+
+    def _tell(self, server: Server, name: str | None, verdict: api.Verdict, evidence: int = 1) -> None:
+        """Tell peers what is held of a server, for one class or all, where they know otherwise."""
+        held = None if verdict is api.Verdict.CLEARED else verdict
+        if server.told.get(name) is not held:
+            server.told.pop(name, None)
+            if held is not None:
+                server.told[name] = held
+            self._actions.append(api.Judged(server.name, verdict, name, max(evidence, 1)))
+
+    def _verdicts_heard(self, event: api.VerdictsHeard) -> None:
+        """Take what live peers hold: a doubted server is drawn less, and an own failure counts for one more.
+
+        Own evidence wins: no peer's word ejects, refuses or readmits, and an own answer ends the doubt.
+        """
+        heard: dict[str, dict[str | None, int]] = {}
+        for each in event.verdicts:
+            old = self._servers[each.server].doubts if each.server in self._servers else {}
+            name = each.service_class
+            heard.setdefault(each.server, {})[name] = 0 if old.get(name) == 0 else each.peers
+        for server in self._servers.values():
+            server.doubts = heard.get(server.name, {})
+        self._doubted = any(each.doubts for each in self._servers.values())
+        left = {e.server: e.peers for e in event.verdicts if e.verdict is api.Verdict.ZONE_LEFT}
+        for zone in self.zones.by_name.values():
+            zone.told = left.get(zone.name, 0)
+
+    @staticmethod
+    def _doubters(server: Server, name: str) -> int:
+        """How many peers hold something against a server for a class, as far as it counts."""
+        return min(max(server.doubts.get(None, 0), server.doubts.get(name, 0)), DOUBTERS_MOST)
+
+    def _recalled(self, event: api.Recalled) -> None:
+        """Take up what an earlier life or peers learned, where nothing tells otherwise yet."""
+        self._norms = dict(event.usual_us) | self._norms
+        self._bearable, self._bearable_at = max(self._bearable, event.bearable_per_us), self._now
+        for server in self._ready:
+            kept = event.servers.get(server.name)
+            if kept is None or server.last_answer_at >= 0 or kept.started_at != server.started_at:
+                continue  # its own answers, or its start since, say more
+            server.pace = min(max(kept.pace, 1.0 / PACE_CLIP), PACE_CLIP)
+            if kept.ejected_us > 0 and server.ejected_until is None:
+                self._eject(server, "recalled")
+
+    # -- Zones: left as a whole, tried by one request or by who probes for all ------------------------
+
+    def _felt(self, server: Server, sent_at: int, good: bool) -> None:
+        if not self.zones.on:
+            return
+        self._zone_back(self.zones.tried(self._now, server, sent_at, good))
+        zone = self.zones.felt(self._now, server, good)
+        if zone is None:
+            return
+        self.zones.leave(self._now, zone)
+        span, self._late = SPARSE_AIMS * self._longest_aim, 0.0
+        self._too_late, self._shed = Rate(span), Rate(span)  # what was late was there
+        self._actions.append(api.Log(f"left zone {zone.name}: {len(zone.failing)} servers fail"))
+        self._actions.append(api.Judged(zone.name, api.Verdict.ZONE_LEFT, None, len(zone.failing)))
+        for request in list(self._requests.values()):
+            for each in request.attempts:
+                if each.pending and not (each.started or request.answered) and each.server.zone == zone.name:
+                    self._save(request, each)
+
+    def _zone_back(self, zone: Zone | None) -> None:
+        if zone is None or zone.left_at is None:
+            return
+        self.zones.come_back(self._now, zone)
+        self._actions.append(api.Log(f"zone {zone.name} is back, easing in"))
+        self._actions.append(api.Judged(zone.name, api.Verdict.CLEARED))
+        for server in [each for each in self._ejected if each.zone == zone.name]:
+            self._readmit(server)  # what ejected it is what took its zone
+
+    def _probing_heard(self, event: api.ProbingHeard) -> None:
+        """Who probes zones for the tier; each time it is this balancer it asks one of each zone left."""
+        self.zones.probing = event.mine
+        for zone in self.zones.left() if event.mine and self._settings.limits.may_probe else ():
+            inside = [each.name for each in self._ready if each.zone == zone.name]
+            self._actions += [api.Probe(name) for name in inside and [self._stagger.choice(inside)]]
+
+    def _probe_ended(self, event: api.ProbeEnded) -> None:
+        server = self._servers.get(event.server)
+        if server is not None:
+            self._zone_back(self.zones.probed(server, event.outcome is Outcome.DELIVERED))
 
     def _trial_due(self, request: Request) -> Server | None:
         """An ejected server comes back by one trial at a time, with a request that may be repeated.
@@ -963,7 +1003,14 @@
                 return server
         if request.kind.repeat is not api.Repeat.SAFE or request.attempts:
             return None
+        if self.zones.on and (zone := self.zones.due(self._now)):
+            inside = [each for each in self._ready if each.zone == zone.name]
+            fit = [each for each in inside if not each.trial and self._cold_room(each, request.cost)]
+            if fit:
+                return self._stagger.choice(fit)
         for server in self._ejected:
+            if self.zones.on and not self.zones.is_open(server.zone):
+                continue
             waited = server.ejected_until is not None and self._now >= server.ejected_until
             if waited and server.is_ready() and not server.trial and self._cold_room(server, request.cost):
                 return server
@@ -987,20 +1034,15 @@
         return rules.cold_from + (1.0 - rules.cold_from) * age / rules.cold_us
 
     def _cold_room(self, server: Server, cost: float) -> bool:
-        """Whether a cold server's budget has room for a request of this cost.
+        """Whether a cold server's budget has room for a request of this cost: it guards rule 4.
 
-        Guards rule 4.  The budget fills with a part of what would push the server over, judged by what this
-        balancer's warm servers serve for it; all balancers doing so stay under the whole.  It starts with a
-        random part of a request: small balancers that all had to save up a whole one would send nothing for
-        seconds, then all at once.
+        It fills with a part of what would push the server over, judged by what this balancer's warm servers
+        serve for it; all balancers doing so stay under the whole.
         """
         if not self._is_cold(server):
             return True
         rules = self._settings.rules
-        bearable = self._bearable_by_mean()
-        if self._mean_size > 0.0:
-            bearable *= min(server.nominal / self._mean_size, 1.0)
-        limit = rules.fall_multiple * self._warmth(server) * bearable
+        limit = rules.fall_multiple * self._warmth(server) * self._bearable_by_mean()
         most = max(1.0, COLD_BURST * limit * rules.fall_us)
         filled = COLD_SHARE * limit * max(self._now - server.allowance_at, 0)
         server.allowance = min(server.allowance + filled, most)
@@ -1008,10 +1050,7 @@
         return server.allowance >= min(cost, most)
 
     def _bearable_by_mean(self) -> float:
-        """What a warm server serves for this balancer, or has served of late: it can do so when it does not.
-
-        Guards against cold servers left idle while the warm ones drown, since those then serve little.
-        """
+        """What a warm server serves for this balancer, or has served of late: it can when it does not."""
         if self._bearable_at != self._now:
             faded = math.exp((self._bearable_at - self._now) / self._settings.rules.cold_us)
             self._bearable_at = self._now
@@ -1020,7 +1059,6 @@
             served = self._served_warm if warm else self._arrivals
             rate = served.per_us(self._now) / max(min(len(peers), self._reach()), 1)
             self._bearable = max(rate, self._bearable * faded)
-            self._mean_size = sum(each.nominal for each in peers) / max(len(peers), 1)
         return self._bearable
 
     # -- Timers: one agenda, and one timer at a time for its head -------------------------------------
@@ -1063,44 +1101,8 @@
             self._actions.append(api.SetTimer(max(agenda[0][0] - self._now, 0), "agenda"))
 
 
-_FAULTY = api.Outcome.INVALID
+_FAULTY = Outcome.INVALID
+_FAILURES = (Outcome.EXPIRED, Outcome.DROPPED, Outcome.DIAL_FAILED, Outcome.ERROR)
 _WHOLE = -1  # the agenda's mark for a request as a whole, not one of its attempts
 _BEAT = -2  # the agenda's mark for the beat that tells of stalls
 _ASK = -1  # the agenda's mark for discovery; requests are never negative
-
-
-@dataclass(slots=True, eq=False)
-class Mix:
-    """One tenant's traffic of one class."""
-
-    kind: api.ServiceClass
-    tenant: str | None
-    rate: Rate
-
-
-class Rate:
-    """A rate over a sliding span of time: an exponentially fading count."""
-
-    __slots__ = ("_at", "_count", "_span_us")
-
-    def __init__(self, span_us: float) -> None:
-        self._span_us = span_us
-        self._count, self._at = 0.0, 0
-
-    def over(self, span_us: float) -> None:
-        """Average over another span from now on."""
-        self._count *= span_us / self._span_us
-        self._span_us = span_us
-
-    def add(self, now: int, amount: float) -> None:
-        self._fade(now)
-        self._count += amount
-
-    def per_us(self, now: int) -> float:
-        self._fade(now)
-        return self._count / self._span_us
-
-    def _fade(self, now: int) -> None:
-        if now > self._at:
-            self._count *= math.exp((self._at - now) / self._span_us)
-            self._at = now
--- a/topazbank/interface.py
+++ b/topazbank/interface.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass, field
-from enum import Enum, unique
+from enum import Enum, IntEnum, unique
 from typing import Any, TypeVar
 
 # ---------------------------------------------------------------------------------------------------
@@ -101,6 +101,28 @@
     UNSENT = "unsent"
 
 
+@unique
+class Verdict(IntEnum):
+    """What a balancer holds against a server (or a zone).  The numbers go over the peer plane."""
+
+    EJECTED = 0  # left out after failures
+    SLOW = 1  # far slower than the others
+    FULL = 2  # turns a class away
+    CLEARED = 3  # nothing any more
+    FAILING = 4  # fails a class
+    BANNED = 5  # left out by the operators
+    ZONE_LEFT = 6  # the zone of that name is left as a whole
+    ASKS = 7  # not against a server: requests a hundred seconds of the tenant of that name
+
+
+@unique
+class ZoneOrder(Enum):
+    """What the operators order of a zone."""
+
+    DRAIN = "drain"  # nothing new goes there
+    PIN = "pin"  # it is never left for its failures
+
+
 # ---------------------------------------------------------------------------------------------------
 # Settings
 
@@ -172,6 +194,23 @@
     connection: float = 0.0  # for a hundred open connections a server
 
 
+@dataclass(frozen=True, slots=True)
+class Locality:
+    """How zones are used; the operators' `locality` object (docs/zones.md)."""
+
+    on: bool = False
+    zone: str = ""  # this sidecar's, where the settings name none
+    regions: Mapping[str, str] = field(default_factory=dict)  # the region of each zone
+    servers: Mapping[str, str] = field(default_factory=dict)  # the zone of servers whose line names none
+    overprovision: float = 1.4  # a zone bears its share while 1 / this of its servers are healthy
+    panic: float = 0.3  # with less than this part of the servers healthy, all are used
+    leave_share: float = 0.5  # a zone is left when this part of its servers in use fail
+    leave_least: int = 3  # and at least so many requests failed
+    ramp_us: int = 0  # how long it takes to ease back in; 0: as long as a server is cold
+    aggression: float = 1.0  # over 1 the weight rises faster at first
+    probe_us: int = 250_000  # how often the one who probes for the tier does so
+
+
 @dataclass(frozen=True, slots=True)
 class Settings:
     """All that an instance is told at its start."""
@@ -192,6 +231,7 @@
     limits: Limits = field(default_factory=Limits)
     rules: Rules = field(default_factory=Rules)
     prices: Prices = field(default_factory=Prices)
+    locality: Locality = field(default_factory=Locality)
 
     @staticmethod
     def from_mapping(given: Mapping[str, Any]) -> Settings:
@@ -253,9 +293,36 @@
                 handshake=prices.number("handshake", 0.0),
                 connection=prices.number("connection", 0.0),
             ),
+            locality=locality_from(given.get("locality")),
         )
 
 
+def locality_from(given: object) -> Locality:
+    """Read the operators' `locality` object (None: all defaults, off); raise ValueError on nonsense."""
+    if given is None:
+        return Locality()
+    each = _Reader(given, "locality")
+    each.only(_LOCALITY_KEYS)
+    return Locality(
+        on=each.flag("on", False),
+        zone=each.text("zone", ""),
+        regions=each.names("regions"),
+        servers=each.names("servers"),
+        overprovision=each.number("overprovision", 1.4, low=1.0, high=10.0),
+        panic=each.number("panic", 0.3, high=1.0),
+        leave_share=each.number("leave_share", 0.5, low=0.05, high=1.0),
+        leave_least=each.whole("leave_least", 3, low=1),
+        ramp_us=1000 * each.whole("ramp_ms", 0),
+        aggression=each.number("aggression", 1.0, low=0.1, high=10.0),
+        probe_us=1000 * each.whole("probe_ms", 250, low=20),
+    )
+
+
+_LOCALITY_KEYS = (
+    "on zone regions servers overprovision panic leave_share leave_least ramp_ms aggression probe_ms".split()
+)
+
+
 def _service_class(each: _Reader) -> ServiceClass:
     deadline = each.whole("deadline_us", None, low=1)
     return ServiceClass(
@@ -311,6 +378,21 @@
             raise self._nonsense(key, "a text")
         return value
 
+    def only(self, keys: Collection[str]) -> None:
+        """Complain of keys that are not among these."""
+        unknown = sorted(str(key) for key in set(self._given) - set(keys))
+        if unknown:
+            raise ValueError(f"{self._path}{unknown[0]:.60}: no such key; known are {', '.join(keys)}")
+
+    def names(self, key: str) -> dict[str, str]:
+        """A mapping of texts to texts."""
+        value = self._value(key)
+        if value is None:
+            return {}
+        if not isinstance(value, Mapping) or not all(isinstance(e, str) for e in [*value, *value.values()]):
+            raise self._nonsense(key, "a mapping of texts to texts")
+        return dict(value)
+
     def texts(self, key: str) -> tuple[str, ...]:
         value = self._value(key)
         if value is None:
@@ -481,6 +563,69 @@
     servers: Collection[str]
 
 
+@dataclass(slots=True)
+class PeerVerdict:
+    """What live peers hold against a server (or a zone, by its name)."""
+
+    server: str
+    verdict: Verdict
+    service_class: str | None  # None: all of them
+    peers: int  # how many hold it
+
+
+@dataclass(slots=True)
+class VerdictsHeard:
+    """All that live peers hold by now: just these."""
+
+    verdicts: Sequence[PeerVerdict]
+
+
+@dataclass(slots=True)
+class TierAsked:
+    """What the other balancers of the tier were asked of late, in requests a second by tenant."""
+
+    per_s: Mapping[str, float]
+
+
+@dataclass(slots=True)
+class ZonesOrdered:
+    """What the operators have ordered of zones, as stored: just these orders from now on."""
+
+    orders: Mapping[str, ZoneOrder]
+
+
+@dataclass(slots=True)
+class ProbingHeard:
+    """Whether this balancer probes zones for the whole tier.  None: nobody does, each tries for itself."""
+
+    mine: bool | None
+
+
+@dataclass(slots=True)
+class ZoneBack:
+    """Who probes for the tier says that this zone answers again."""
+
+    zone: str
+
+
+@dataclass(slots=True)
+class KeptServer:
+    """What was learned of a server."""
+
+    pace: float  # how long it takes, relative to the usual
+    ejected_us: int = 0  # what was left of its ejection; 0: none
+    started_at: int | None = None  # of the process that it was learned of
+
+
+@dataclass(slots=True)
+class Recalled:
+    """What an earlier life of this balancer, or its peers, had learned."""
+
+    servers: Mapping[str, KeptServer] = field(default_factory=dict)
+    usual_us: Mapping[tuple[str, int], float] = field(default_factory=dict)  # by class and size of request
+    bearable_per_us: float = 0.0  # what a warm server served for this balancer, requests of mean cost
+
+
 Event = (
     ServersListed
     | RequestArrived
@@ -493,6 +638,12 @@
     | MessageReceived
     | ExclusionAsked
     | ExclusionsHeard
+    | VerdictsHeard
+    | TierAsked
+    | ZonesOrdered
+    | ProbingHeard
+    | ZoneBack
+    | Recalled
 )
 
 # ---------------------------------------------------------------------------------------------------
@@ -580,6 +731,16 @@
     servers: frozenset[str]
 
 
+@dataclass(slots=True)
+class Judged:
+    """What this balancer holds of a server (or a zone, by its name) has changed: worth telling peers."""
+
+    server: str
+    verdict: Verdict
+    service_class: str | None = None
+    evidence: int = 1  # failures, or answers, that it rests on
+
+
 @dataclass(slots=True)
 class Log:
     """A line for the operators."""
@@ -588,5 +749,17 @@
 
 
 Action = (
-    Send | Refuse | Fail | Cancel | SetTimer | Probe | CloseIdle | Tell | Follow | FetchList | Exclude | Log
+    Send
+    | Refuse
+    | Fail
+    | Cancel
+    | SetTimer
+    | Probe
+    | CloseIdle
+    | Tell
+    | Follow
+    | FetchList
+    | Exclude
+    | Judged
+    | Log
 )
--- /dev/null
+++ b/topazbank/lease/duties.py
@@ -0,0 +1,115 @@
+"""The duties that one sidecar of a tier does for all, on the leases of `core`, over the peer plane.
+
+- `zones`: probe the zones that were left and tell all when one answers again;
+- `snapshot`: write the tier's shared snapshot (topazbank/state/tier.py).
+
+Each act of a duty carries the lease's token; a receiver takes no act with a token older than one it has seen
+(`Fence`), and each act once.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any
+
+from topazbank.lease.core import Fence, Kind, Leases, Message, Terms
+from topazbank.peers.codec import ActUpdate, LeaseUpdate
+
+ZONES, SNAPSHOT = 0, 1
+NAMES = ("zones", "snapshot")
+BACK = 1  # the verb of an act on a zone: it answers again
+ACTS_KEPT = 64  # for the operators' view
+SUBJECTS_MOST = 256  # acts on so many subjects are remembered
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
+    """An act of this member: when (us, monotonic), of which duty, under which token, on what."""
+
+    at_us: int
+    duty: int
+    token: int
+    subject: str
+
+
+class Duties:
+    """Member `me` of `size`; `life` is any number that no earlier start of this member used."""
+
+    def __init__(self, me: int, size: int, life: int, terms: Terms, now_us: int) -> None:
+        self.leases = Leases(me, size, len(NAMES), terms, now_us, life=life & 0x3FFF_FFFF)
+        self.fence = Fence()
+        self.done: deque[Done] = deque(maxlen=ACTS_KEPT)
+        self.taken = 0  # acts of others that were new and in force
+        self._counter = 0
+        self._seen: dict[tuple[int, str], tuple[int, int]] = {}
+
+    def tick(self, now_us: int, alive: Iterable[int]) -> list[tuple[int, LeaseUpdate]]:
+        return _posts(self.leases.tick(now_us, alive))
+
+    def receive(self, now_us: int, sender: int, update: LeaseUpdate) -> list[tuple[int, LeaseUpdate]]:
+        """A lease's message from `sender`; one of no known kind is dropped and counted."""
+        if update.kind not in _KINDS:
+            self.leases.counts.dropped += 1
+            return []
+        message = Message(Kind(update.kind), update.duty, update.epoch, update.ask)
+        return _posts(self.leases.receive(now_us, sender, message))
+
+    def due_us(self, now_us: int) -> int:
+        return self.leases.due(now_us)
+
+    def holds(self, duty: int, now_us: int) -> int:
+        """The fencing token while this member holds the duty, else 0."""
+        return self.leases.holds(duty, now_us)
+
+    def act(self, now_us: int, duty: int, subject: str, verb: int) -> ActUpdate | None:
+        """An act to tell the tier; None where the duty is not (or no longer) held."""
+        token = self.holds(duty, now_us)
+        if not token or not self.fence.admit(duty, token):
+            return None
+        self._counter += 1
+        self.done.append(Done(now_us, duty, token, subject))
+        act = ActUpdate(duty, token, self._counter, subject, verb)
+        self._note(act)
+        return act
+
+    def heard(self, act: ActUpdate) -> bool:
+        """Whether an act of another is new and in force."""
+        if act.duty >= len(NAMES):
+            return False
+        if (act.token, act.counter) <= self._seen.get((act.duty, act.subject), (0, -1)):
+            return False
+        if not self.fence.admit(act.duty, act.token):
+            return False
+        self._note(act)
+        self.taken += 1
+        return True
+
+    def _note(self, act: ActUpdate) -> None:
+        self._seen[(act.duty, act.subject)] = (act.token, act.counter)
+        while len(self._seen) > SUBJECTS_MOST:
+            del self._seen[next(iter(self._seen))]
+
+    def describe(self, now_us: int) -> dict[str, Any]:
+        """For the operators: the token of each duty held, acts done, acts fenced off."""
+        held = {name: self.holds(number, now_us) for number, name in enumerate(NAMES)}
+        knows = {name: duty.highest for name, duty in zip(NAMES, self.leases.table, strict=True)}
+        counts = self.leases.counts
+        return {
+            "held": held,
+            "highest": knows,
+            "acts": [[each.at_us, NAMES[each.duty], each.token, each.subject] for each in self.done],
+            "taken": self.taken,
+            "fenced": self.fence.refused,
+            "asked": counts.asked,
+            "granted": counts.granted,
+            "refused": counts.refused,
+        }
+
+
+_KINDS = frozenset(int(each) for each in Kind)
+
+
+def _posts(out: list[tuple[int, Message]]) -> list[tuple[int, LeaseUpdate]]:
+    return [(to, LeaseUpdate(int(m.kind), m.duty, m.epoch, m.ask)) for to, m in out]
--- /dev/null
+++ b/topazbank/locality.py
@@ -0,0 +1,219 @@
+"""Which zones a balancer draws from: how near, which to leave as a whole, and how one eases back in.
+
+A part of the decisions (`policy`), sans-IO.  Off unless `Locality.on`.  Levels, overprovisioning, the
+panic threshold and slow start with its aggression are those of Envoy's load balancing; see docs/zones.md.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from topazbank.interface import Locality, ZoneOrder
+from topazbank.rates import Rate
+
+if TYPE_CHECKING:
+    from topazbank.balancer import Server
+
+FELT_AIMS = 1.0  # what a zone answers and fails is counted over this many of the longest aim
+BACK_AIMS = 0.5  # first wait before a zone left is tried again, in longest aims; it doubles with each failure
+BACK_AIMS_MOST = 8.0
+RAMP_LEAST = 0.1  # the weight at which a zone or a server comes back
+TOLD_SPARES = 2  # own failures that one peer's word on a zone stands for; one own is always needed
+BACK_PROBES = 2  # probes answered in a row that bring a zone back
+
+
+@dataclass(slots=True, eq=False)
+class Zone:
+    """What this balancer knows of one zone."""
+
+    name: str
+    bad: Rate
+    order: ZoneOrder | None
+    listed: int = 0  # ready servers in it
+    failing: set[str] = field(default_factory=set)  # of these, those that failed and did not answer since
+    answering: dict[str, int] = field(default_factory=dict)  # and when the others answered last
+    told: int = 0  # peers that have left it
+    left_at: int | None = None
+    retries: int = 0  # times in a row that it was left or failed its trial
+    retry_at: int = 0
+    answered: int = 0  # probes answered in a row since it was left
+    ramp_at: int | None = None  # when it came back; None: it bears its whole share
+
+    def is_kept(self) -> bool:
+        return self.left_at is None and self.order is not ZoneOrder.DRAIN
+
+
+class Zones:
+    """The zones of one balancer.  `here` is its own, "" where that is not known: then none is near."""
+
+    def __init__(self, given: Locality, here: str, longest_aim: int, cold_us: int) -> None:
+        self.given, self.on, self.here = given, given.on, here or given.zone
+        self._aim, self._ramp_us = longest_aim, given.ramp_us or max(cold_us, 1)
+        self.by_name: dict[str, Zone] = {}
+        self._orders: Mapping[str, ZoneOrder] = {}
+        self._levels: list[Sequence[Server]] = [[], [], []]  # own zone, own region, all: the ready servers
+        self._shares: list[float] | None = None  # of requests for the first two; None: to be reckoned
+        self.panicking = False
+        self.probing: bool | None = None  # whether this balancer probes for the tier; None: each for itself
+        self._alone_at = 0  # until when one that does not probe waits for who does
+
+    def take(self, ready: Sequence[Server]) -> None:
+        """Take the servers that may be sent to; zones without any are forgotten."""
+        names, span = {each.zone for each in ready}, FELT_AIMS * self._aim
+        self.by_name = {name: self.by_name[name] for name in self.by_name if name in names}
+        for name in sorted(names - self.by_name.keys()):
+            self.by_name[name] = Zone(name, Rate(span), self._orders.get(name))
+        for zone in self.by_name.values():
+            inside = {each.name for each in ready if each.zone == zone.name}
+            zone.listed, zone.failing = len(inside), zone.failing & inside
+            zone.answering = {name: at for name, at in zone.answering.items() if name in inside}
+        regions, region = self.given.regions, self.given.regions.get(self.here)
+        near = [each for each in ready if self.here and each.zone == self.here]
+        around = [each for each in ready if region and regions.get(each.zone) == region]
+        self._levels = [near, around, ready]
+        self.changed()
+
+    def changed(self) -> None:
+        """Servers were ejected or readmitted, or zones left: the shares are to be reckoned anew."""
+        self._shares = None
+
+    def felt(self, now: int, server: Server, good: bool) -> Zone | None:
+        """A server answered, or failed as one does that is cut off; give its zone if that is to be left."""
+        zone = self.by_name.get(server.zone)
+        if zone is None:
+            return None
+        if good:
+            zone.failing.discard(server.name)
+            zone.answering[server.name] = now
+            return None
+        zone.failing.add(server.name)
+        zone.answering.pop(server.name, None)
+        zone.bad.add(now, 1.0)
+        return zone if self._is_lost(now, zone) else None
+
+    def _is_lost(self, now: int, zone: Zone) -> bool:
+        """Whether a zone fails as a whole while what stays open without it reaches the panic threshold.
+
+        Several of its servers must fail (one, where it has one or peers say so), and most that are used.
+        """
+        if not zone.is_kept() or zone.order is ZoneOrder.PIN or not self._fails(now, zone):
+            return False
+        others = [each for each in self.by_name.values() if each is not zone and each.is_kept()]
+        sound = sum(each.listed for each in others if not self._fails(now, each))
+        several = len(zone.failing) >= min(1 if zone.told else 2, zone.listed)
+        return several and sound >= max(self.given.panic * len(self._levels[-1]), 1)
+
+    def _fails(self, now: int, zone: Zone) -> bool:
+        least = max(self.given.leave_least - TOLD_SPARES * zone.told, 1)
+        return zone.bad.count(now) > least - 0.5 and self.failed(now, zone) >= self.given.leave_share
+
+    def failed(self, now: int, zone: Zone) -> float:
+        """Of the zone's servers that are in use, the part that failed and did not answer since."""
+        since = now - int(FELT_AIMS * self._aim)
+        answering = sum(at >= since for at in zone.answering.values())
+        return len(zone.failing) / max(len(zone.failing) + answering, 1)
+
+    def leave(self, now: int, zone: Zone) -> None:
+        zone.left_at, zone.ramp_at, zone.answered = now, None, 0
+        self._wait(now, zone)
+        self._alone_at = now + int(BACK_AIMS_MOST * self._aim)
+        self.changed()
+
+    def _wait(self, now: int, zone: Zone) -> None:
+        zone.retry_at = now + int(min(BACK_AIMS * 2**zone.retries, BACK_AIMS_MOST) * self._aim)
+        zone.retries = min(zone.retries + 1, 8)
+
+    def left(self) -> list[Zone]:
+        return [each for each in self.by_name.values() if each.left_at is not None]
+
+    def due(self, now: int) -> Zone | None:
+        """A zone that was left and may be tried with one request; its next trial is put off.
+
+        Where another sidecar probes for the tier, only once that one has said nothing for a long time.
+        """
+        waits = self.probing is not None and now < self._alone_at
+        for zone in self.left():
+            if not waits and now >= zone.retry_at and zone.order is not ZoneOrder.DRAIN:
+                zone.retry_at = now + self._aim
+                return zone
+        return None
+
+    def tried(self, now: int, server: Server, sent_at: int, good: bool) -> Zone | None:
+        """An attempt in a zone that had been left ended; give the zone if that brings it back."""
+        zone = self.by_name.get(server.zone)
+        if zone is None or zone.left_at is None or sent_at <= zone.left_at:
+            return None
+        if not good:
+            self._wait(now, zone)
+        return zone if good else None
+
+    def probed(self, server: Server, good: bool) -> Zone | None:
+        """A probe came back; give the server's zone if that brings it back."""
+        zone = self.by_name.get(server.zone)
+        if zone is None or zone.left_at is None:
+            return None
+        zone.answered = zone.answered + 1 if good else 0
+        return zone if zone.answered >= BACK_PROBES else None
+
+    def come_back(self, now: int, zone: Zone) -> None:
+        """Ease the zone in.  `retries` ends with the ramp: one that flaps is left for longer each time."""
+        zone.left_at, zone.ramp_at, zone.bad = None, now, Rate(FELT_AIMS * self._aim)
+        zone.failing.clear()
+        self.changed()
+
+    def ramp(self, now: int, began: int | None) -> float:
+        """The weight of what came back at `began`, 1.0 once it bears its whole share."""
+        part = 1.0 if began is None else max(now - began, 0) / self._ramp_us
+        return 1.0 if part >= 1.0 else max(RAMP_LEAST, part ** (1.0 / self.given.aggression))
+
+    def weight(self, now: int, server: Server) -> float:
+        """The server's own slow start or its zone's, whichever is further from its end."""
+        zone = self.by_name.get(server.zone)
+        share = 1.0 if zone is None else self.ramp(now, zone.ramp_at)
+        if zone is not None and zone.ramp_at is not None and share >= 1.0:
+            zone.ramp_at, zone.retries = None, 0
+        return min(share, self.ramp(now, server.back_at))
+
+    def ordered(self, now: int, orders: Mapping[str, ZoneOrder]) -> None:
+        """Just these orders are in force now; a zone whose drain ends, or that is pinned, eases in."""
+        self._orders = orders
+        for zone in self.by_name.values():
+            old, zone.order = zone.order, orders.get(zone.name)
+            drained = old is ZoneOrder.DRAIN and zone.order is not ZoneOrder.DRAIN
+            if drained or (zone.order is ZoneOrder.PIN and zone.left_at is not None):
+                self.come_back(now, zone)
+        self.changed()
+
+    def is_open(self, name: str) -> bool:
+        """Whether servers of this zone may be drawn; in a panic those of zones that were left may."""
+        zone = self.by_name.get(name)
+        if zone is None or zone.is_kept():
+            return True
+        self.reckon()
+        return zone.order is not ZoneOrder.DRAIN and self.panicking
+
+    def nearby(self, roll: float, strength: float) -> Sequence[Server]:
+        """The servers that a request is drawn from; `roll` in 0..1 picks the level.
+
+        The own zone takes `strength` times its healthy part times `overprovision` of the requests (all of
+        them at most), the own region what that leaves by the same measure, and the rest go anywhere.
+        """
+        for level, share in zip(self._levels, self.reckon(), strict=False):
+            if roll < strength * share:
+                return level
+        return self._levels[-1]
+
+    def reckon(self) -> list[float]:
+        """The parts of the requests that the own zone and the own region bear."""
+        if self._shares is None:
+            kept = {each.name for each in self.by_name.values() if each.is_kept()}
+            sound = [sum(e.ejected_until is None and e.zone in kept for e in level) for level in self._levels]
+            drained = sum(e.listed for e in self.by_name.values() if e.order is ZoneOrder.DRAIN)
+            self.panicking = sound[-1] < self.given.panic * (len(self._levels[-1]) - drained)
+            parts = [good / max(len(level), 1) for good, level in zip(sound, self._levels, strict=True)]
+            wide = 0.0 if self.panicking else self.given.overprovision
+            pairs = zip(parts[:-1], sound, strict=False)
+            self._shares = [min(wide * part, 1.0) if good > 1 else 0.0 for part, good in pairs]
+        return self._shares
--- a/topazbank/net/orders.py
+++ b/topazbank/net/orders.py
@@ -1,6 +1,7 @@
 """What the operators have ordered, on disk: it outlasts a crash, and both processes of an upgrade share it.
 
-One empty file for each excluded server, named by its id, and one for a drain.  To make or remove a file is
+One empty file for each excluded server, named by its id, one for each order on a zone, and one for a
+drain.  To make or remove a file is
 atomic, so nothing is ever read half written, and two processes never overwrite each other's orders.
 """
 
@@ -18,6 +19,7 @@
     def __init__(self, folder: Path) -> None:
         self._excluded = folder / "excluded"
         self._evacuated = folder / "evacuated"
+        self._zones = folder / "zones"
 
     def read(self) -> tuple[frozenset[str], bool]:
         """The servers left out, and whether the sidecar is to be empty."""
@@ -36,6 +38,26 @@
         with contextlib.suppress(FileNotFoundError):
             (self._excluded / _file_name(server)).unlink()
 
+    def zones(self) -> dict[str, str]:
+        """What is ordered of zones, by name; a file `NAME=ORDER` each."""
+        try:
+            names = os.listdir(self._zones)
+        except FileNotFoundError:
+            return {}
+        pairs = (name.partition("=") for name in sorted(names))
+        return {unquote(zone, errors="replace"): order for zone, _, order in pairs}
+
+    def order_zone(self, zone: str, order: str | None) -> None:
+        """Order something of a zone, in place of any earlier order; None ends it."""
+        self._zones.mkdir(exist_ok=True)
+        kept = f"{_file_name(zone)}={order}" if order is not None else ""
+        if kept:
+            (self._zones / kept).touch()
+        for name in os.listdir(self._zones):
+            if name != kept and name.partition("=")[0] == _file_name(zone):
+                with contextlib.suppress(FileNotFoundError):
+                    (self._zones / name).unlink()
+
     def evacuate(self) -> None:
         self._evacuated.touch()
 
--- a/topazbank/peers/codec.py
+++ b/topazbank/peers/codec.py
@@ -2,12 +2,15 @@
 
 A datagram is the msgpack array `[VERSION, kind, incarnation, seq, target, updates]`:
 
-- `kind`: `Kind` (ping, ack, ping-req);
+- `kind`: `Kind` (ping, ack, ping-req; direct: updates for the receiver alone; state-ask and state: what a
+  member that starts asks of its peers, and one part of the answer);
 - `incarnation`: the sender's own incarnation number (0 .. 2**32-1);
-- `seq`: the probe's sequence number (0 .. 2**32-1), echoed by the ack;
-- `target`: for ping-req the member to probe (its number in `peers`), else -1;
-- `updates`: piggybacked gossip, each `[0, member, incarnation, status]` (membership) or
-  `[1, origin, incarnation, counter, server, verdict, evidence, ttl_ms]` (a verdict on a server).
+- `seq`: the probe's sequence number (0 .. 2**32-1), echoed by the ack; of a state its number among `target`;
+- `target`: for ping-req the member to probe (its number in `peers`), for a state how many there are, else -1;
+- `updates`: each `[0, member, incarnation, status]` (membership),
+  `[1, origin, incarnation, counter, subject, slot, verdict, evidence, ttl_ms]` (see `VerdictUpdate`),
+  `[2, kind, duty, epoch, ask]` (a lease's message), `[3, duty, token, counter, subject, verb]` (an act of
+  a duty's holder) or `[4, server, pace]` (a server's learned pace, in hundredths of the usual).
 
 Anything else raises `Malformed`: the receiver drops it and counts it.  PROTOCOL caps a datagram at 256 bytes.
 """
@@ -20,13 +23,19 @@
 
 import msgpack  # type: ignore[import-untyped]
 
-VERSION = 1
+from topazbank.interface import Verdict
+
+VERSION = 2
 DATAGRAM_MOST = 256  # bytes, PROTOCOL "Between sidecars": a longer one voids the run
 MEMBERS_MOST = 1024  # numbers of members are below this
 SERVER_NAME_MOST = 64  # bytes of a server's name
 UPDATES_MOST = 16  # in one datagram
 TTL_MOST_MS = 60_000  # no verdict is held longer than this
-EVIDENCE_MOST = 1 << 16
+EVIDENCE_MOST = 1 << 20
+ALL_CLASSES, BAN, ZONE, ASKED = -1, -2, -3, -4  # slots that are no class's number
+CLASSES_MOST = 256
+PACE_MOST = 10_000  # hundredths
+DUTIES_MOST = 16
 _WORD = 1 << 32
 
 
@@ -34,6 +43,9 @@
     PING = 0
     ACK = 1
     PING_REQ = 2
+    DIRECT = 3
+    STATE_ASK = 4
+    STATE = 5
 
 
 class Status(enum.IntEnum):
@@ -42,15 +54,6 @@
     DEAD = 2
 
 
-class Verdict(enum.IntEnum):
-    """What one sidecar holds of a server: ejected after failures, slow, or full."""
-
-    EJECTED = 0
-    SLOW = 1
-    FULL = 2
-    CLEARED = 3  # the origin no longer holds any verdict on it
-
-
 class Malformed(ValueError):
     """A datagram that is not one of ours, or is out of bounds."""
 
@@ -66,7 +69,12 @@
 
 @dataclass(frozen=True, slots=True)
 class VerdictUpdate:
-    """A verdict of `origin` on `server`, versioned by the origin's (incarnation, counter); lives `ttl_ms`."""
+    """A verdict of `origin` on `server`, versioned by the origin's (incarnation, counter); lives `ttl_ms`.
+
+    `slot` says what of it: a class of requests by its number in the settings, ALL_CLASSES, BAN (the
+    operators'), ZONE (`server` is a zone's name) or ASKED (a tenant's name; `evidence` is requests a hundred
+    seconds).
+    """
 
     origin: int
     incarnation: int
@@ -75,9 +83,39 @@
     verdict: Verdict
     evidence: int
     ttl_ms: int
+    slot: int = ALL_CLASSES
 
 
-Update = MemberUpdate | VerdictUpdate
+@dataclass(frozen=True, slots=True)
+class LeaseUpdate:
+    """A message of the lease protocol (topazbank/lease/core.py), for its receiver alone."""
+
+    kind: int
+    duty: int
+    epoch: int
+    ask: int
+
+
+@dataclass(frozen=True, slots=True)
+class ActUpdate:
+    """An act of the holder of a duty, under its fencing token; `counter` numbers the token's acts."""
+
+    duty: int
+    token: int
+    counter: int
+    subject: str
+    verb: int
+
+
+@dataclass(frozen=True, slots=True)
+class FactUpdate:
+    """What a peer learned of a server, for a member that starts: its pace in hundredths of the usual time."""
+
+    server: str
+    pace: int
+
+
+Update = MemberUpdate | VerdictUpdate | LeaseUpdate | ActUpdate | FactUpdate
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,18 +147,17 @@
 
 def flat(update: Update) -> list[Any]:
     """An update as the list that a datagram carries."""
-    if isinstance(update, MemberUpdate):
-        return [0, update.member, update.incarnation, int(update.status)]
-    return [
-        1,
-        update.origin,
-        update.incarnation,
-        update.counter,
-        update.server,
-        int(update.verdict),
-        update.evidence,
-        update.ttl_ms,
-    ]
+    match update:
+        case MemberUpdate():
+            return [0, update.member, update.incarnation, int(update.status)]
+        case LeaseUpdate():
+            return [2, update.kind, update.duty, update.epoch, update.ask]
+        case ActUpdate():
+            return [3, update.duty, update.token, update.counter, update.subject, update.verb]
+        case FactUpdate():
+            return [4, update.server, update.pace]
+    version = [update.origin, update.incarnation, update.counter]
+    return [1, *version, update.server, update.slot, int(update.verdict), update.evidence, update.ttl_ms]
 
 
 def decode(data: bytes) -> Message:
@@ -157,29 +194,69 @@
 
 def update_from(value: Any) -> Update:
     """An update from the list that a datagram carries; raise `Malformed`."""
-    if not isinstance(value, list) or not value:
+    if not isinstance(value, list) or not value or type(value[0]) is not int:
         raise Malformed("update: a list is needed")
-    if value[0] == 0 and len(value) == 4:
-        _, member, incarnation, status = value
-        return MemberUpdate(
-            _whole(member, 0, MEMBERS_MOST - 1, "member"),
-            _whole(incarnation, 0, _WORD - 1, "incarnation"),
-            Status(_whole(status, 0, len(Status) - 1, "status")),
-        )
-    if value[0] == 1 and len(value) == 8:
-        _, origin, incarnation, counter, server, verdict, evidence, ttl_ms = value
-        if not isinstance(server, str) or not server:
-            raise Malformed("server: a name is needed")
-        return VerdictUpdate(
-            _whole(origin, 0, MEMBERS_MOST - 1, "origin"),
-            _whole(incarnation, 0, _WORD - 1, "incarnation"),
-            _whole(counter, 0, _WORD - 1, "counter"),
-            server,
-            Verdict(_whole(verdict, 0, len(Verdict) - 1, "verdict")),
-            _whole(evidence, 0, EVIDENCE_MOST, "evidence"),
-            _whole(ttl_ms, 1, TTL_MOST_MS, "ttl_ms"),
-        )
-    raise Malformed("update: unknown kind")
+    reader = _READERS.get((value[0], len(value)))
+    if reader is None:
+        raise Malformed("update: unknown kind")
+    return reader(value)
+
+
+def _member(value: list[Any]) -> Update:
+    _, member, incarnation, status = value
+    return MemberUpdate(
+        _whole(member, 0, MEMBERS_MOST - 1, "member"),
+        _whole(incarnation, 0, _WORD - 1, "incarnation"),
+        Status(_whole(status, 0, len(Status) - 1, "status")),
+    )
+
+
+def _verdict(value: list[Any]) -> Update:
+    _, origin, incarnation, counter, server, slot, verdict, evidence, ttl_ms = value
+    return VerdictUpdate(
+        _whole(origin, 0, MEMBERS_MOST - 1, "origin"),
+        _whole(incarnation, 0, _WORD - 1, "incarnation"),
+        _whole(counter, 0, _WORD - 1, "counter"),
+        _name(server),
+        Verdict(_whole(verdict, 0, len(Verdict) - 1, "verdict")),
+        _whole(evidence, 0, EVIDENCE_MOST, "evidence"),
+        _whole(ttl_ms, 1, TTL_MOST_MS, "ttl_ms"),
+        _whole(slot, ASKED, CLASSES_MOST - 1, "slot"),
+    )
+
+
+def _lease(value: list[Any]) -> Update:
+    _, kind, duty, epoch, ask = value
+    return LeaseUpdate(
+        _whole(kind, 0, 255, "kind"),
+        _whole(duty, 0, DUTIES_MOST - 1, "duty"),
+        _whole(epoch, 0, _WORD - 1, "epoch"),
+        _whole(ask, 0, _WORD - 1, "ask"),
+    )
+
+
+def _act(value: list[Any]) -> Update:
+    _, duty, token, counter, subject, verb = value
+    return ActUpdate(
+        _whole(duty, 0, DUTIES_MOST - 1, "duty"),
+        _whole(token, 1, _WORD - 1, "token"),
+        _whole(counter, 0, _WORD - 1, "counter"),
+        _name(subject, empty=True),
+        _whole(verb, 0, 255, "verb"),
+    )
+
+
+def _fact(value: list[Any]) -> Update:
+    return FactUpdate(_name(value[1]), _whole(value[2], 1, PACE_MOST, "pace"))
+
+
+_READERS = {(0, 4): _member, (1, 9): _verdict, (2, 5): _lease, (3, 6): _act, (4, 3): _fact}
+
+
+def _name(value: Any, empty: bool = False) -> str:
+    if not isinstance(value, str) or not (value or empty):
+        raise Malformed("a name is needed")
+    return value
 
 
 def _whole(value: Any, low: int, high: int, name: str) -> int:
--- /dev/null
+++ b/topazbank/peers/link.py
@@ -0,0 +1,187 @@
+"""Between the module and the peer plane: what the balancer holds goes out, what peers hold comes in.
+
+Nothing is weighed here: the module hears `VerdictsHeard`, `TierAsked`, `ProbingHeard`, `ZoneBack` and
+decides.  What this sidecar holds is told at once, and again every third of its life while it holds.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from topazbank.interface import (
+    Event,
+    Judged,
+    PeerVerdict,
+    ProbingHeard,
+    TierAsked,
+    Verdict,
+    VerdictsHeard,
+    ZoneBack,
+)
+from topazbank.lease.duties import BACK, ZONES
+from topazbank.peers import codec
+from topazbank.peers.codec import ActUpdate
+from topazbank.peers.transport import PeerPlane
+
+log = logging.getLogger(__name__)
+
+LIFE_MS = 15_000  # of a verdict told to peers; it is told again every third of that
+HELD_MOST = 256  # verdicts of this sidecar that are told at once; more are not told, and counted
+_STEP_S = 0.1  # how often what peers hold is handed to the module
+_BIND_AGAIN_S = 1.0  # between tries to bind peer_listen
+_ASKED_EVERY = 10  # steps between tellings of what this sidecar is asked
+_RENEW_EVERY = int(LIFE_MS / 3000 / _STEP_S)
+
+Slot = tuple[str, int]  # subject and slot of a verdict
+
+
+class PeerLink:
+    """One sidecar's link: `hear` takes events for the module, `asked` gives requests a second by tenant."""
+
+    def __init__(
+        self,
+        plane: PeerPlane,
+        classes: list[str],
+        hear: Callable[[Event], None],
+        asked: Callable[[], Mapping[str, float]],
+        probe_us: int,
+    ) -> None:
+        self.plane = plane
+        self._classes, self._hear, self._asked = classes, hear, asked
+        self._held: dict[Slot, tuple[Verdict, int]] = {}
+        self._untold = 0
+        self._banned: frozenset[str] = frozenset()
+        self._heard: list[PeerVerdict] = []
+        self._tier: dict[str, float] = {}
+        self._probing: bool | None = None
+        self._steps = 0
+        self._probe_every = max(round(probe_us / 1e6 / _STEP_S), 1)
+        self._timer: asyncio.TimerHandle | None = None
+        self._task: asyncio.Future[None] | None = None
+        plane.swim.on_act = self._on_act
+
+    # -- Life -------------------------------------------------------------------------------------------
+
+    async def start(self, bound: Callable[[], None], tries: int = 0) -> None:
+        """Bind the plane, then call `bound`; while the process before this one in an upgrade holds the port,
+        try each second."""
+        try:
+            await self.plane.start()
+        except OSError as fault:
+            if tries == 0:
+                log.warning("the peer plane can't bind yet, it is tried each second: %s", fault)
+            self._timer = asyncio.get_running_loop().call_later(_BIND_AGAIN_S, self._again, bound, tries + 1)
+            return
+        log.info("the peer plane is bound, member %d of %d", self.plane.swim.me, self.plane.swim.size)
+        bound()
+        self._step()
+
+    def _again(self, bound: Callable[[], None], tries: int) -> None:
+        self._task = asyncio.ensure_future(self.start(bound, tries))  # held: tasks are weak
+
+    def stop(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self.plane.stop()
+
+    # -- Out: what this sidecar holds -------------------------------------------------------------------
+
+    def judged(self, action: Judged) -> None:
+        """The module holds something new of a server, one of its classes, or a zone."""
+        slot = codec.ALL_CLASSES
+        if action.verdict is Verdict.ZONE_LEFT or (action.server, codec.ZONE) in self._held:
+            slot = codec.ZONE
+        elif action.service_class is not None:
+            if action.service_class not in self._classes:
+                return
+            slot = self._classes.index(action.service_class)
+        key = (action.server, slot)
+        if action.verdict is Verdict.CLEARED:
+            self._held.pop(key, None)
+            if slot == codec.ZONE:
+                self.plane.act(ZONES, action.server, BACK)  # to all, where this sidecar probes for them
+        elif len(self._held) >= HELD_MOST and key not in self._held:
+            self._untold += 1
+            return
+        else:
+            self._held[key] = (action.verdict, action.evidence)
+        self.plane.publish(action.server, action.verdict, action.evidence, LIFE_MS, slot)
+
+    def ban(self, servers: frozenset[str]) -> None:
+        """The operators' bans at this sidecar: told to the tier, and their end too."""
+        for server in servers - self._banned:
+            self.plane.publish(server, Verdict.BANNED, 1, LIFE_MS, codec.BAN)
+        for server in self._banned - servers:
+            self.plane.publish(server, Verdict.CLEARED, 1, LIFE_MS, codec.BAN)
+        self._banned = servers
+
+    def _renew(self) -> None:
+        for (subject, slot), (verdict, evidence) in self._held.items():
+            self.plane.publish(subject, verdict, evidence, LIFE_MS, slot)
+        for server in self._banned:
+            self.plane.publish(server, Verdict.BANNED, 1, LIFE_MS, codec.BAN)
+
+    def _tell_asked(self) -> None:
+        for tenant, per_s in self._asked().items():
+            if tenant and len(tenant.encode()) <= codec.SERVER_NAME_MOST:
+                hundredths = min(int(per_s * 100), codec.EVIDENCE_MOST)
+                self.plane.publish(tenant, Verdict.ASKS, hundredths, LIFE_MS // 3, codec.ASKED)
+
+    # -- In: what peers hold ----------------------------------------------------------------------------
+
+    def bans(self) -> frozenset[str]:
+        """The servers that the tier's operators have left out."""
+        return self.plane.with_core(lambda swim, now: swim.tier_bans(now))
+
+    def _step(self) -> None:
+        self._steps += 1
+        if self._steps % _RENEW_EVERY == 0:
+            self._renew()
+        if self._steps % _ASKED_EVERY == 0:
+            self._tell_asked()
+            self._hear_asked()
+        self.hear_verdicts()
+        self._hear_probing()
+        self._timer = asyncio.get_running_loop().call_later(_STEP_S, self._step)
+
+    def hear_verdicts(self) -> None:
+        held = self.plane.with_core(lambda swim, now: swim.tier_verdicts(now, self._classes))
+        if held != self._heard:
+            self._heard = held
+            self._hear(VerdictsHeard(held))
+
+    def _hear_asked(self) -> None:
+        asked = self.plane.with_core(lambda swim, now: swim.tier_asked(now))
+        if asked != self._tier:
+            self._tier = asked
+            self._hear(TierAsked(asked))
+
+    def _hear_probing(self) -> None:
+        if self.plane.duties is None:
+            return
+        mine = self.plane.holds(ZONES) > 0
+        if mine != self._probing or (mine and self._steps % self._probe_every == 0):
+            if mine != self._probing:
+                log.info("zones are probed %s", "by this sidecar, for the tier" if mine else "by another")
+            self._probing = mine
+            self._hear(ProbingHeard(mine))
+
+    def _on_act(self, _: int, act: ActUpdate) -> bool:
+        if self.plane.duties is None or not self.plane.duties.heard(act):
+            return False
+        if act.duty == ZONES and act.verb == BACK:
+            self._hear(ZoneBack(act.subject))
+        return True
+
+    def describe(self) -> dict[str, Any]:
+        """For the operators: the plane's view, and how much of what this sidecar holds is told."""
+        told = {
+            f"{subject} {slot}": verdict.name.lower() for (subject, slot), (verdict, _) in self._held.items()
+        }
+        return self.plane.describe() | {"told": told, "untold": self._untold}
+
+    def duties(self) -> dict[str, Any] | None:
+        return self.plane.duties.describe(self.plane.now()) if self.plane.duties is not None else None
--- a/topazbank/peers/membership.py
+++ b/topazbank/peers/membership.py
@@ -20,22 +20,28 @@
 import math
 import random
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
+from topazbank.interface import PeerVerdict, Verdict
 from topazbank.peers import codec
 from topazbank.peers.codec import (
+    ActUpdate,
+    FactUpdate,
     Kind,
+    LeaseUpdate,
     Malformed,
     MemberUpdate,
     Message,
     Status,
     Update,
-    Verdict,
     VerdictUpdate,
 )
 from topazbank.peers.verdicts import Verdicts
 
 Datagram = tuple[int, bytes]  # to the member of that number
+STATE_PARTS_MOST = 100  # datagrams of one answer to a member that starts
+_STATE_AGAIN_US = 1_000_000
 _US_PER_MS = 1000
 
 
@@ -118,6 +124,13 @@
         self._next_probe_us = now_us
         self._relays: dict[int, Relay] = {}
         self._gossip: dict[tuple[int, int, str], tuple[Update, int]] = {}  # key -> update, sends left
+        self.on_lease: Callable[[int, int, LeaseUpdate], list[tuple[int, LeaseUpdate]]] = lambda *_: []
+        self.on_act: Callable[[int, ActUpdate], bool] = lambda *_: False  # whether it is new and in force
+        self.facts: dict[str, int] = {}  # what this member learned of servers, for those that start
+        self.facts_heard: dict[str, int] = {}
+        self.state_whole = False
+        self._state_parts: dict[int, set[int]] = {}
+        self._state_told: dict[int, int] = {}  # when each member was last told all
 
     # -- Events -----------------------------------------------------------------------------------------
 
@@ -158,12 +171,39 @@
             return []
         self._remind(sender, message.incarnation)
         self._hear_of(now_us, MemberUpdate(sender, message.incarnation, Status.ALIVE))
+        out: list[Datagram] = []
         for update in message.updates:
-            self._hear_of(now_us, update)
-        return self._answer(now_us, sender, message)
-
-    def publish(self, now_us: int, server: str, verdict: Verdict, evidence: int, ttl_ms: int) -> None:
-        """Hold a verdict of this member's own on `server` and gossip it."""
+            if isinstance(update, LeaseUpdate):
+                out += self.direct(self.on_lease(now_us, sender, update))
+            else:
+                self._hear_of(now_us, update)
+        return out + self._answer(now_us, sender, message)
+
+    def direct(self, posts: list[tuple[int, LeaseUpdate]]) -> list[Datagram]:
+        """Datagrams for single members, with gossip riding along."""
+        return [
+            self._send(target, Message(Kind.DIRECT, self.incarnation, 0, -1, (update,)))
+            for target, update in posts
+        ]
+
+    def spread_act(self, act: ActUpdate) -> None:
+        self._spread(act, (3, act.duty, act.subject))
+
+    def ask_state(self, now_us: int) -> list[Datagram]:
+        """Ask a few members for all that they hold; `state_whole` says once one answered in full."""
+        helpers = self._random.sample(self.alive(), min(self.tuning.indirect, len(self.alive())))
+        return [self._send(each, Message(Kind.STATE_ASK, self.incarnation, 0)) for each in helpers]
+
+    def publish(
+        self,
+        now_us: int,
+        server: str,
+        verdict: Verdict,
+        evidence: int,
+        ttl_ms: int,
+        slot: int = codec.ALL_CLASSES,
+    ) -> None:
+        """Hold a verdict of this member's own on `server` (see `VerdictUpdate`) and gossip it."""
         self._counter += 1
         update = VerdictUpdate(
             self.me,
@@ -173,6 +213,7 @@
             verdict,
             min(evidence, codec.EVIDENCE_MOST),
             max(1, min(ttl_ms, codec.TTL_MOST_MS)),
+            slot,
         )
         self._hear_of(now_us, update)
 
@@ -211,15 +252,37 @@
         )
 
     def tier_bans(self, now_us: int) -> frozenset[str]:
-        """Servers that at least `ban_quorum` live peers hold ejected now, `ban_most` at most: those held by
-        the most peers first, then by name."""
+        """Servers that the operators of at least `ban_quorum` live peers have left out now.
+
+        `ban_most` at most: those held by the most peers first, then by name."""
         live, held = set(self.alive()), Counter[str]()
         for update, _ in self.verdicts.live(now_us):
-            if update.origin in live and update.verdict is Verdict.EJECTED:
+            if update.origin in live and update.verdict is Verdict.BANNED:
                 held[update.server] += 1
         chosen = sorted((-count, server) for server, count in held.items() if count >= self.tuning.ban_quorum)
         return frozenset(server for _, server in chosen[: self.tuning.ban_most])
 
+    def tier_verdicts(self, now_us: int, classes: list[str]) -> list[PeerVerdict]:
+        """What live peers hold against servers, classes and zones now, one line each, in a fixed order."""
+        live, held = set(self.alive()), dict[tuple[str, int], Counter[Verdict]]()
+        for update, _ in self.verdicts.live(now_us):
+            against = update.verdict not in (Verdict.CLEARED, Verdict.BANNED, Verdict.ASKS)
+            named = update.slot < len(classes) and update.slot not in (codec.BAN, codec.ASKED)
+            if update.origin in live and against and named:
+                held.setdefault((update.server, update.slot), Counter())[update.verdict] += 1
+        return [
+            PeerVerdict(server, most.most_common(1)[0][0], classes[slot] if slot >= 0 else None, most.total())
+            for (server, slot), most in sorted(held.items())
+        ]
+
+    def tier_asked(self, now_us: int) -> dict[str, float]:
+        """What the live peers were asked of late in all, requests a second by tenant."""
+        live, asked = set(self.alive()), Counter[str]()
+        for update, _ in self.verdicts.live(now_us):
+            if update.origin in live and update.slot == codec.ASKED and update.verdict is Verdict.ASKS:
+                asked[update.server] += update.evidence
+        return {tenant: hundredths / 100.0 for tenant, hundredths in asked.items()}
+
     # -- Probing ----------------------------------------------------------------------------------------
 
     def _start_probe(self, now_us: int) -> list[Datagram]:
@@ -264,6 +327,12 @@
         return [self._send(each, ask) for each in chosen]
 
     def _answer(self, now_us: int, sender: int, message: Message) -> list[Datagram]:
+        if message.kind is Kind.STATE_ASK:
+            return self._tell_all(now_us, sender)
+        if message.kind is Kind.STATE:
+            self._note_part(sender, message)
+        if message.kind in (Kind.STATE, Kind.DIRECT):
+            return []
         if message.kind is Kind.PING:
             return [self._send(sender, Message(Kind.ACK, self.incarnation, message.seq))]
         if message.kind is Kind.PING_REQ:
@@ -281,6 +350,35 @@
             return [self._send(relay.requester, Message(Kind.ACK, self.incarnation, relay.seq))]
         return []
 
+    # -- All state, for a member that starts ------------------------------------------------------------
+
+    def _tell_all(self, now_us: int, target: int) -> list[Datagram]:
+        """All verdicts and facts held, in as many datagrams as it takes; once a second to each member."""
+        if now_us < self._state_told.get(target, now_us - _STATE_AGAIN_US) + _STATE_AGAIN_US:
+            self.counts.dropped["state"] += 1
+            return []
+        self._state_told[target] = now_us
+        left: list[Update] = [replace(each, ttl_ms=ms) for each, ms in self.verdicts.live(now_us)]
+        left += [FactUpdate(server, pace) for server, pace in self.facts.items()]
+        parts: list[list[Update]] = []
+        while left and len(parts) < STATE_PARTS_MOST:
+            most = Message(Kind.STATE, self.incarnation, STATE_PARTS_MOST, STATE_PARTS_MOST)
+            taken = max(codec.encode(most, left)[1], 1)
+            parts.append(left[:taken])
+            left = left[taken:]
+        return [
+            self._count(
+                target, codec.encode(Message(Kind.STATE, self.incarnation, number, len(parts)), part)[0]
+            )
+            for number, part in enumerate(parts or [[]])
+        ]
+
+    def _note_part(self, sender: int, message: Message) -> None:
+        got = self._state_parts.setdefault(sender, set())
+        got.add(message.seq)
+        if len(got) >= message.target:
+            self.state_whole = True
+
     def _expire_suspicions(self, now_us: int) -> None:
         timeout = self._suspicion_us()
         for each, member in self.members.items():
@@ -304,7 +402,17 @@
         if isinstance(update, VerdictUpdate):
             if update.origin != self.me or (update.counter > 0 and update.incarnation == self.incarnation):
                 if self.verdicts.take(now_us, update):
-                    self._spread(update, (1, update.origin, update.server))
+                    self._spread(update, _key_of(update))
+            return
+        if isinstance(update, ActUpdate):
+            if self.on_act(now_us, update):
+                self.spread_act(update)
+            return
+        if isinstance(update, FactUpdate):
+            if len(self.facts_heard) < self.tuning.verdicts_most:
+                self.facts_heard[update.server] = update.pace
+            return
+        if isinstance(update, LeaseUpdate):
             return
         if update.member == self.me:
             self._refute(update)
@@ -324,7 +432,7 @@
         """A member is back (a new life, or from the dead): it may have missed this one's verdicts."""
         for update, left_ms in self.verdicts.live(now_us):
             if update.origin == self.me:
-                self._spread(replace(update, ttl_ms=left_ms), (1, update.origin, update.server))
+                self._spread(replace(update, ttl_ms=left_ms), _key_of(update))
 
     def _remind(self, sender: int, incarnation: int) -> None:
         """A member held suspect or dead speaks: tell it so first, that it may refute."""
@@ -355,11 +463,18 @@
                 del self._gossip[key]
             else:
                 self._gossip[key] = (update, left - 1)
+        return self._count(target, data)
+
+    def _count(self, target: int, data: bytes) -> Datagram:
         self.counts.sent += 1
         self.counts.sent_bytes += len(data)
         return target, data
 
 
+def _key_of(update: VerdictUpdate) -> tuple[int, int, str]:
+    return 1, update.origin, f"{update.slot}:{update.server}"
+
+
 def _overrides(update: MemberUpdate, member: Member) -> bool:
     """SWIM's order of rumours about one member."""
     if update.incarnation != member.incarnation:
--- a/topazbank/peers/transport.py
+++ b/topazbank/peers/transport.py
@@ -12,7 +12,10 @@
 from collections.abc import Callable
 from typing import Any, TypeVar, cast
 
-from topazbank.peers.codec import Verdict
+from topazbank.interface import Verdict
+from topazbank.lease.core import Terms
+from topazbank.lease.duties import Duties
+from topazbank.peers import codec
 from topazbank.peers.membership import Datagram, Swim, Tuning
 
 log = logging.getLogger(__name__)
@@ -26,7 +29,10 @@
 
 
 class PeerPlane(asyncio.DatagramProtocol):
-    """One sidecar's end of the plane: `listen` is its `peer_listen`, `peers` the tier's, `me` its number."""
+    """One sidecar's end of the plane: `listen` is its `peer_listen`, `peers` the tier's, `me` its number.
+
+    `terms`: of the leases of the tier's duties; None: there are none.
+    """
 
     def __init__(
         self,
@@ -35,9 +41,13 @@
         me: int,
         seed: int,
         tuning: Tuning,
+        terms: Terms | None = None,
         clock: Callable[[], int] = monotonic_us,
     ) -> None:
         self.swim = Swim(me, len(peers), seed, tuning, clock())
+        self.duties = Duties(me, len(peers), seed, terms, clock()) if terms is not None else None
+        if self.duties is not None:
+            self.swim.on_lease = self.duties.receive
         self._listen, self._peers, self._clock = listen, peers, clock
         self._index = {address: number for number, address in enumerate(peers)}
         self._transport: asyncio.DatagramTransport | None = None
@@ -68,16 +78,32 @@
     def error_received(self, exc: Exception) -> None:
         self.swim.counts.dropped["error"] += 1
 
-    def publish(self, server: str, verdict: Verdict, evidence: int, ttl_ms: int) -> None:
-        self.swim.publish(self._clock(), server, verdict, evidence, ttl_ms)
+    def now(self) -> int:
+        """The plane's clock, in us: monotonic, of this process alone."""
+        return self._clock()
+
+    def publish(
+        self, subject: str, verdict: Verdict, evidence: int, ttl_ms: int, slot: int = codec.ALL_CLASSES
+    ) -> None:
+        self.swim.publish(self._clock(), subject, verdict, evidence, ttl_ms, slot)
+
+    def ask_state(self) -> None:
+        self._post(self.swim.ask_state(self._clock()))
+
+    def act(self, duty: int, subject: str, verb: int) -> bool:
+        """Do an act of a duty and tell the tier; False where the duty is not held."""
+        act = self.duties.act(self._clock(), duty, subject, verb) if self.duties is not None else None
+        if act is not None:
+            self.swim.spread_act(act)
+        return act is not None
+
+    def holds(self, duty: int) -> int:
+        return self.duties.holds(duty, self._clock()) if self.duties is not None else 0
 
     def with_core(self, use: Callable[[Swim, int], _T]) -> _T:
         """Let `use` read or change the core at this moment of the clock (snapshots)."""
         return use(self.swim, self._clock())
 
-    def tier_bans(self) -> frozenset[str]:
-        return self.swim.tier_bans(self._clock())
-
     def describe(self) -> dict[str, Any]:
         """What the plane holds, for the operators: members, counts, verdicts."""
         swim, now = self.swim, self._clock()
@@ -91,14 +117,20 @@
             "received": [counts.received, counts.received_bytes],
             "dropped": dict(counts.dropped),
             "verdicts": [
-                [u.origin, u.server, u.verdict.name.lower(), ttl] for u, ttl in swim.verdicts.live(now)
+                [u.origin, u.server, u.verdict.name.lower(), u.slot, ttl]
+                for u, ttl in swim.verdicts.live(now)
             ],
             "evicted": swim.verdicts.evicted,
         }
 
     def _tick(self) -> None:
-        self._post(self.swim.tick(self._clock()))
-        wait_s = max(self.swim.due_us() - self._clock(), 1000) / 1e6
+        now = self._clock()
+        self._post(self.swim.tick(now))
+        due = self.swim.due_us()
+        if self.duties is not None:
+            self._post(self.swim.direct(self.duties.tick(now, self.swim.alive())))
+            due = min(due, self.duties.due_us(now))
+        wait_s = max(due - self._clock(), 1000) / 1e6
         self._timer = asyncio.get_running_loop().call_later(wait_s, self._tick)
 
     def _post(self, out: list[Datagram]) -> None:
--- a/topazbank/peers/verdicts.py
+++ b/topazbank/peers/verdicts.py
@@ -1,4 +1,4 @@
-"""Shared verdicts on servers: one entry per (origin, server), last writer by (incarnation, counter).
+"""Shared verdicts: one entry per (origin, subject, slot), last writer by (incarnation, counter).
 
 Merging is commutative and idempotent: of two updates for one key the one with the larger version stays,
 whatever the order they come in or how often.  Each entry expires on the receiver's own monotonic clock,
@@ -11,7 +11,8 @@
 
 from dataclasses import dataclass
 
-from topazbank.peers.codec import TTL_MOST_MS, Verdict, VerdictUpdate
+from topazbank.interface import Verdict
+from topazbank.peers.codec import TTL_MOST_MS, VerdictUpdate
 
 _US_PER_MS = 1000
 
@@ -29,13 +30,13 @@
         if most < 1:
             raise ValueError("the table needs room for one entry at least")
         self._most = most
-        self._entries: dict[tuple[int, str], Entry] = {}
+        self._entries: dict[tuple[int, str, int], Entry] = {}
         self.evicted = 0
         self.stale = 0  # updates not taken: an equal or newer version was held
 
     def take(self, now_us: int, update: VerdictUpdate) -> bool:
         """Merge one update; True where it changed the table (and so is worth passing on)."""
-        key = (update.origin, update.server)
+        key = (update.origin, update.server, update.slot)
         held = self._entries.get(key)
         if held is not None and _version(held.update) >= _version(update):
             self.stale += 1
@@ -61,12 +62,9 @@
     def holding(self, now_us: int, server: str, verdict: Verdict, but: int = -1) -> list[VerdictUpdate]:
         """The unexpired verdicts of that kind on `server`, one an origin, leaving out origin `but`."""
         return [
-            entry.update
-            for (origin, name), entry in self._entries.items()
-            if name == server
-            and origin != but
-            and entry.expires_us > now_us
-            and entry.update.verdict is verdict
+            each
+            for each, _ in self.live(now_us)
+            if each.server == server and each.origin != but and each.verdict is verdict
         ]
 
     def live(self, now_us: int) -> list[tuple[VerdictUpdate, int]]:
--- /dev/null
+++ b/topazbank/views.py
@@ -0,0 +1,48 @@
+"""What the operators see of a balancer: plain JSON-ready objects.  Nothing is decided here."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+
+from topazbank.balancer import Balancer
+from topazbank.locality import Zone, Zones
+
+
+def zones_view(zones: Zones, now: int) -> dict[str, Any]:
+    """Each zone's state and the share of requests that leaves the own one (docs/zones.md); `now` in us."""
+    told = {"on": zones.on, "here": zones.here, "probing": zones.probing}
+    if not zones.on:
+        return told
+    each = {name: _zone(zones, zone, now) for name, zone in sorted(zones.by_name.items())}
+    return told | {"spill": round(1.0 - zones.reckon()[0], 3), "panic": zones.panicking, "zones": each}
+
+
+def _zone(zones: Zones, zone: Zone, now: int) -> dict[str, Any]:
+    return {
+        "servers": zone.listed,
+        "failing": len(zone.failing),
+        "failed_share": round(zones.failed(now, zone), 3),
+        "left_for_ms": None if zone.left_at is None else (now - zone.left_at) // 1000,
+        "ramp": round(zones.ramp(now, zone.ramp_at), 3),
+        "peers_left": zone.told,
+        "order": zone.order.value if zone.order else None,
+    }
+
+
+def state_line(balancer: Balancer) -> str:
+    """The state behind refusals, for the operators' log."""
+    ready = balancer._ready
+    return (
+        f"load {balancer._load()} of window {balancer._window:.1f}, aim spent {balancer._spent:.2f}, "
+        f"late {balancer._late:.2f}; of {len(ready)} ready {len(balancer._ejected)} ejected, "
+        f"{sum(balancer._is_cold(each) for each in ready)} cold, {len(balancer._excluded)} excluded"
+    )
+
+
+def asked_per_s(balancer: Balancer, now: int) -> dict[str, float]:
+    """What the balancer was asked of late by tenant, requests a second: for the others of the tier."""
+    asked = Counter[str]()
+    for (_, tenant), rate in balancer.mix.items():
+        asked[tenant or ""] += int(rate.per_us(now) * 1e8)
+    return {tenant: hundredths / 100.0 for tenant, hundredths in asked.items()}
--- a/topazbank/wirehost.py
+++ b/topazbank/wirehost.py
@@ -22,6 +22,7 @@
     Fail,
     FetchList,
     Follow,
+    Judged,
     ListedServer,
     ListKind,
     Log,
@@ -388,7 +389,8 @@
             self._reply.append(json.dumps(["INTERNAL_ERROR", who, f"{type(fault).__name__}: {fault}"[:500]]))
             return
         for action in actions:
-            self._reply.append(_write_action(who, action))
+            if not isinstance(action, Judged):  # instances share nothing here
+                self._reply.append(_write_action(who, action))
 
 
 def run(lines: Iterable[str], out: TextIO, err: TextIO) -> int:
