--- a/tests/cluster/test_peer_plane.py
+++ b/tests/cluster/test_peer_plane.py
@@ -13,6 +13,7 @@
 from topazbank.peers import codec
 from topazbank.peers.codec import VerdictUpdate
 from topazbank.state import snapshot
+from topazbank.state.store import Store
 
 
 async def all_alive(made: Tier) -> bool:
@@ -113,18 +114,21 @@
     return told is not None and told["dropped"].get(why, 0) >= least
 
 
-def test_a_restart_resumes_from_its_snapshot_and_a_damaged_one_starts_cold(tmp_path: Path) -> None:
+def test_a_restart_resumes_from_its_state_and_a_damaged_one_starts_cold(tmp_path: Path) -> None:
     async def scene() -> None:
         made = Tier(3, tmp_path, seed=13)
+        made.changes = lambda _: {"state": {"on": True, "every_ms": 50}}
         await made.open()
         try:
             kept = VerdictUpdate(1, 0, 9, "s-1", Verdict.EJECTED, 1, 30_000)
             (tmp_path / "n2").mkdir()
-            snapshot.write(
-                tmp_path / "n2" / "peers.snap", [msgpack.packb([41, 3]), msgpack.packb(codec.flat(kept))]
-            )
+            store = Store(tmp_path / "n2", 1 << 20)
+            store.open()
+            store.put("plane", msgpack.packb([41, 3]))
+            store.put("verdict/1/-1/s-1", msgpack.packb(codec.flat(kept)))
+            store.flush()
             (tmp_path / "n1").mkdir()
-            (tmp_path / "n1" / "peers.snap").write_bytes(snapshot.pack([b"x"])[:-3] + b"junk")
+            (tmp_path / "n1" / "state-7.snap").write_bytes(snapshot.pack([b"x"])[:-3] + b"junk")
             for number in range(3):
                 await made.start(number)
             await made.until(lambda: _told(made, 2))
@@ -133,7 +137,7 @@
             assert [1, "s-1", "ejected"] in [each[:3] for each in told["verdicts"]]
             await made.until(lambda: all_alive(made))
             await made.kill(2)
-            await made.start(2)  # after kill -9: from the snapshot the process itself wrote
+            await made.start(2)  # after kill -9: from what the process itself wrote
             await made.until(lambda: _told(made, 2))
             again = await made.members(2)
             assert again is not None and again["incarnation"] >= 43
--- a/tests/cluster/world.py
+++ b/tests/cluster/world.py
@@ -77,7 +77,7 @@
         self.fails: set[str] = set()  # classes that it answers with 500
         self.since_ms = 0  # Unix time of its last start; 0: long ago
         self.answered = self.probes = 0
-        self.runs: Counter[str] = Counter()  # by call id
+        self.runs: Counter[str] = Counter()  # of what may not run twice, by call id
         self.over = 0.0
         self._arrived: deque[float] = deque()
         self._server: asyncio.Server | None = None
@@ -125,7 +125,8 @@
                         writer.write(said(200))
                     continue
                 self._take()
-                self.runs[headers.get("x-call-id", "")] += 1
+                if headers.get("x-call-class") == "pay":
+                    self.runs[headers.get("x-call-id", "")] += 1
                 if self.silent:
                     await reader.read()  # until the other side gives up
                     return
@@ -260,7 +261,7 @@
         return [each for each in self.servers if each.zone == name]
 
     def ran_twice(self) -> set[str]:
-        """Call ids of requests that ran more than once, over all servers."""
+        """Call ids of requests that may not run twice and did, over all servers."""
         runs: Counter[str] = Counter()
         for each in self.servers:
             runs.update(each.runs)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -221,7 +221,7 @@
     async def scene() -> None:
         async with world(served) as w:
             w.discovery.say(42, [w.servers[0].entry(status=status, address=None)])
-            await until(lambda: not w.sidecar._balancer._ready)
+            await until(lambda: not w.sidecar._balancer.ready)
             assert (await w.ask())[0] == 503
             assert not w.sent()
 
--- a/tests/test_draw.py
+++ b/tests/test_draw.py
@@ -451,13 +451,13 @@
     stage = Stage(settings())
     stage.servers(names(4))
     stage.serve(200)
-    paces = {each.name: each.pace for each in stage.balancer._ready}
+    paces = {each.name: each.pace for each in stage.balancer.ready}
     requests = [stage.request() for _ in range(8)]
     stalled(stage, 900 * MS)
     for each in requests:
         stage.end(each)
     stage.wait(100 * MS)
-    assert {each.name: each.pace for each in stage.balancer._ready} == paces
+    assert {each.name: each.pace for each in stage.balancer.ready} == paces
     assert [each for each in stage.said(Log) if "ejected" in each.text] == []
 
 
@@ -465,12 +465,12 @@
     stage = Stage(settings())
     stage.servers(names(4))
     stage.serve(200)
-    paces = {each.name: each.pace for each in stage.balancer._ready}
+    paces = {each.name: each.pace for each in stage.balancer.ready}
     requests = [stage.request() for _ in range(8)]
     stage.wait(900 * MS)
     for each in requests:
         stage.end(each)
-    assert all(each.pace > paces[each.name] for each in stage.balancer._ready)
+    assert all(each.pace > paces[each.name] for each in stage.balancer.ready)
 
 
 def test_what_waited_out_its_aim_in_a_stall_is_refused_where_late_is_worth_nothing() -> None:
--- a/topazbank/__main__.py
+++ b/topazbank/__main__.py
@@ -22,7 +22,7 @@
 from topazbank.interface import locality_from
 from topazbank.net import frontend
 from topazbank.net.discovery import Told, parse_list
-from topazbank.net.sidecar import Config, Sidecar
+from topazbank.net.sidecar import Config, Sidecar, StateConfig
 from topazbank.net.upstream import parse_address
 from topazbank.wirehost import settings_from_wire
 
@@ -33,6 +33,7 @@
 log = logging.getLogger(__name__)
 
 _SOCKETS = 1024  # unless the configuration tells
+_STATE_PART = 64  # of memory_mb, what the state may take on disk, which counts as memory
 _MEMORY_MB = 64  # likewise
 _LOG_LINES = 50  # a second at most
 _REJECTED_LINES = 10  # of these, for what is not a proper request
@@ -65,7 +66,8 @@
         peer_listen=_address(given["peer_listen"], "peer_listen") if "peer_listen" in given else None,
         peers=tuple(_address(each, "peers[]") for each in _listed(given.get("peers", []), "peers")),
         peer_plane=_tuning(given.get("peer_plane")),
-        duties=_terms(given.get("duties")),
+        duties=_terms(given.get("duties"), given.get("peer_plane")),
+        state=_state(given, environ),
     )
 
 
@@ -94,7 +96,7 @@
     return Tuning(**{name: type(getattr(Tuning(), name))(each) for name, each in knobs.items()})
 
 
-def _terms(value: Any) -> Terms | None:
+def _terms(value: Any, plane: Any) -> Terms | None:
     """The operators' `duties` object: `on` (false unless told), and the leases' times in ms."""
     if value is None:
         return None
@@ -108,7 +110,32 @@
             raise ValueError(f"duties.{name}: whole milliseconds up to 600000 are needed")
     times = {name.replace("_ms", "_us"): 1000 * value[name] for name in knobs if name in value}
     terms = Terms(**times)
-    return terms if value.get("on", False) is True else None
+    if value.get("on", False) is not True:
+        return None
+    if not (isinstance(plane, dict) and plane.get("on") is True):
+        raise ValueError("duties: they need the peer plane, and that is off")
+    return terms
+
+
+def _state(given: Mapping[str, Any], environ: Mapping[str, str]) -> StateConfig | None:
+    """The operators' `state` object (docs/recovery.md): `folder` is $TMPDIR unless told."""
+    value = given.get("state")
+    if value is None:
+        return None
+    if not isinstance(value, dict) or set(value) - {"on", "folder", "tier_folder", "every_ms", "warm_ms"}:
+        raise ValueError("state: an object of on, folder, tier_folder, every_ms, warm_ms is needed")
+    times = {name: value[name] for name in ("every_ms", "warm_ms") if name in value}
+    if any(type(each) is not int or not 0 <= each <= 60_000 for each in times.values()):
+        raise ValueError("state: every_ms and warm_ms are whole milliseconds up to 60000")
+    folder = value.get("folder", environ.get("TMPDIR") or tempfile.gettempdir())
+    tier = value.get("tier_folder")
+    texts = isinstance(folder, str) and (tier is None or isinstance(tier, str))
+    if not texts or times.get("every_ms", 1000) < 20:
+        raise ValueError("state: folder and tier_folder are paths, every_ms at least 20")
+    memory_mb = _limit(given.get("limits"), "memory_mb", _MEMORY_MB)
+    most = memory_mb * 1024 * 1024 // _STATE_PART
+    shared = Path(tier) if tier is not None else None
+    return StateConfig(Path(folder), most, shared, **times) if value.get("on", False) is True else None
 
 
 def _address(value: Any, name: str) -> tuple[str, int]:
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -172,7 +172,7 @@
         self._excluded: frozenset[str] = frozenset()  # what the operators have left out, listed or not
         self._back: dict[Server, None] = {}  # servers back from their exclusion and not used since
         self._left: dict[str, None] = {}  # names that were listed once, the last to leave at the end
-        self._ready: list[Server] = []
+        self.ready: list[Server] = []
         self.zones = Zones(settings.locality, settings.zone, self._longest_aim, settings.rules.cold_us)
         self._doubted = False  # whether peers hold anything against any server
         self._tier_asked: Mapping[str, float] = {}  # of the other balancers, by tenant, a second
@@ -196,7 +196,7 @@
         self._ghosts: list[int] = []  # when each attempt given up on stops counting, soonest first
         self._ejected: list[Server] = []
         self._remote = 1.0  # odds of a server in another zone, as of _remote_at
-        self._bearable = 0.0  # what a warm server of mean size serves for this balancer, as of _bearable_at
+        self.bearable = 0.0  # what a warm server of mean size serves for this balancer, as of _bearable_at
         self._bearable_at = self._remote_at = -1
         self._answers = 0  # answers so far, from all servers
         self._extra = EXTRA_PER_REQUEST * EXTRA_SAVED / 2
@@ -204,7 +204,7 @@
         self._mean_cost: dict[str, float] = {}
         self._arrivals = Rate(RATE_SPANS * settings.rules.fall_us)
         self._served_warm = Rate(RATE_SPANS * settings.rules.fall_us)
-        self._norms: dict[tuple[str, int], float] = {}  # usual time of a class and size, over all servers
+        self.norms: dict[tuple[str, int], float] = {}  # usual time of a class and size, over all servers
         self._spent = 0.0  # running median of the part of its aim that an answer takes
         self._late = 0.0  # part of the answers that come after their aim
         self._floor: float | None = None  # the least that median has been of late
@@ -307,9 +307,9 @@
     def _take_stock(self) -> None:
         """Forget who left, and see anew who may be sent to."""
         self._forget_gone()
-        self._ready = [each for each in self._servers.values() if each.is_ready()]
-        self._ready.sort(key=lambda each: each.place)
-        self.zones.take(self._ready)
+        self.ready = [each for each in self._servers.values() if each.is_ready()]
+        self.ready.sort(key=lambda each: each.place)
+        self.zones.take(self.ready)
 
     def _forget_gone(self) -> None:
         """Forget servers that left: each deploy brings new names.  One that comes back is a new server."""
@@ -579,7 +579,7 @@
             strength = (1.0 - self._remote) / (1.0 - REMOTE_LEAST)
             pool = self._within_reach(self.zones.nearby(self._stagger.random(), strength), request)
         if len(pool) < 2:
-            pool = self._within_reach(self._ready, request)
+            pool = self._within_reach(self.ready, request)
         if not pool:
             return None
         power = min(max(1.0, float(request.size)), HEAVY_POWER)
@@ -635,7 +635,7 @@
         priced = self.zones.on or self._settings.prices.cross_zone > 0.0
         if not priced or self._late >= LATE_ALLOWED or self._fill() > FREE:
             return 1.0  # room anywhere is worth more than a crossing
-        here, pool = self.zones.here, [each for each in self._ready if each.ejected_until is None]
+        here, pool = self.zones.here, [each for each in self.ready if each.ejected_until is None]
         near = [each.pace for each in pool if each.zone == here]
         far = [each.pace for each in pool if each.zone != here]
         if not near or not far or sum(far) <= 0.0:
@@ -788,7 +788,7 @@
 
     def _usual(self, request: Request) -> float:
         """The usual time of such a request, over all servers."""
-        return self._norms.get((request.kind.name, request.size), UNSEEN_AIMS * request.kind.aim_us)
+        return self.norms.get((request.kind.name, request.size), UNSEEN_AIMS * request.kind.aim_us)
 
     def _pace(self, server: Server, request: Request, elapsed_us: int) -> None:
         ratio = min(elapsed_us / max(self._usual(request), 1.0), PACE_CLIP)
@@ -800,9 +800,9 @@
 
     def _time(self, server: Server, request: Request, elapsed_us: int) -> None:
         kind = (request.kind.name, request.size)
-        usual = self._norms.setdefault(kind, float(elapsed_us))  # the first answer of its kind is usual
+        usual = self.norms.setdefault(kind, float(elapsed_us))  # the first answer of its kind is usual
         self._pace(server, request, elapsed_us)
-        self._norms[kind] = usual + NORM_STEP * (elapsed_us - usual)
+        self.norms[kind] = usual + NORM_STEP * (elapsed_us - usual)
 
     # -- Overdue attempts: silent servers are left, and repeatable requests saved ---------------------
 
@@ -884,7 +884,7 @@
 
     def _eject(self, server: Server, reason: str, most: float = EJECTED_MOST) -> None:
         if server.ejected_until is None:
-            room = most * min(len(self._ready), self._reach())
+            room = most * min(len(self.ready), self._reach())
             if self._servers.get(server.name) is not server or len(self._ejected) + 1 > room:
                 return
             self._ejected.append(server)
@@ -942,9 +942,9 @@
 
     def _recalled(self, event: api.Recalled) -> None:
         """Take up what an earlier life or peers learned, where nothing tells otherwise yet."""
-        self._norms = dict(event.usual_us) | self._norms
-        self._bearable, self._bearable_at = max(self._bearable, event.bearable_per_us), self._now
-        for server in self._ready:
+        self.norms = dict(event.usual_us) | self.norms
+        self.bearable, self._bearable_at = max(self.bearable, event.bearable_per_us), self._now
+        for server in self.ready:
             kept = event.servers.get(server.name)
             if kept is None or server.last_answer_at >= 0 or kept.started_at != server.started_at:
                 continue  # its own answers, or its start since, say more
@@ -984,7 +984,7 @@
         """Who probes zones for the tier; each time it is this balancer it asks one of each zone left."""
         self.zones.probing = event.mine
         for zone in self.zones.left() if event.mine and self._settings.limits.may_probe else ():
-            inside = [each.name for each in self._ready if each.zone == zone.name]
+            inside = [each.name for each in self.ready if each.zone == zone.name]
             self._actions += [api.Probe(name) for name in inside and [self._stagger.choice(inside)]]
 
     def _probe_ended(self, event: api.ProbeEnded) -> None:
@@ -1004,7 +1004,7 @@
         if request.kind.repeat is not api.Repeat.SAFE or request.attempts:
             return None
         if self.zones.on and (zone := self.zones.due(self._now)):
-            inside = [each for each in self._ready if each.zone == zone.name]
+            inside = [each for each in self.ready if each.zone == zone.name]
             fit = [each for each in inside if not each.trial and self._cold_room(each, request.cost)]
             if fit:
                 return self._stagger.choice(fit)
@@ -1054,12 +1054,12 @@
         if self._bearable_at != self._now:
             faded = math.exp((self._bearable_at - self._now) / self._settings.rules.cold_us)
             self._bearable_at = self._now
-            warm = [each for each in self._ready if not self._is_cold(each)]
-            peers = warm or self._ready  # ejected ones too: they served a part of what is counted
+            warm = [each for each in self.ready if not self._is_cold(each)]
+            peers = warm or self.ready  # ejected ones too: they served a part of what is counted
             served = self._served_warm if warm else self._arrivals
             rate = served.per_us(self._now) / max(min(len(peers), self._reach()), 1)
-            self._bearable = max(rate, self._bearable * faded)
-        return self._bearable
+            self.bearable = max(rate, self.bearable * faded)
+        return self.bearable
 
     # -- Timers: one agenda, and one timer at a time for its head -------------------------------------
 
--- a/topazbank/lease/duties.py
+++ b/topazbank/lease/duties.py
@@ -20,6 +20,7 @@
 ZONES, SNAPSHOT = 0, 1
 NAMES = ("zones", "snapshot")
 BACK = 1  # the verb of an act on a zone: it answers again
+WROTE = 2  # of the snapshot: it is being written
 ACTS_KEPT = 64  # for the operators' view
 SUBJECTS_MOST = 256  # acts on so many subjects are remembered
 
--- a/topazbank/net/discovery.py
+++ b/topazbank/net/discovery.py
@@ -91,6 +91,39 @@
         return None
 
 
+class Lines:
+    """The list as it is by now, in discovery's form."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self._lines: dict[str, Listed] = {}
+
+    def take(self, told: Told) -> None:
+        if told.complete:
+            self._lines = {}
+        for line in told.lines:
+            self._lines[line.server.server] = line
+            if line.server.state is ServerState.GONE:
+                del self._lines[line.server.server]
+        self.version = told.version
+
+    def told(self) -> dict[str, Any]:
+        return {
+            "index": self.version,
+            "snapshot": True,
+            "endpoints": [_entry(e) for e in self._lines.values()],
+        }
+
+
+def _entry(line: Listed) -> dict[str, Any]:
+    server, words = line.server, {state: word for word, state in _STATES.items()}
+    entry = {"name": server.server, "zone": server.zone, "type": server.kind, "group": server.cell}
+    if line.address is not None:
+        entry["address"] = "{}:{}".format(*line.address)
+    since_ms = (server.started_at or 0) // 1000
+    return entry | {"status": words[server.state], "weight": server.nominal, "since_ms": since_ms}
+
+
 class Discovery:
     """Watches the list while that is wanted; each call has a connection of its own."""
 
@@ -101,6 +134,14 @@
         self._watch: asyncio.Task[None] | None = None
         self._fetches: set[asyncio.Task[bool]] = set()
 
+    def place(self) -> str:
+        """Where discovery is asked."""
+        return "{}:{}".format(*self._address)
+
+    def begin(self, version: int) -> None:
+        """Ask for what changed since this version, before anything was asked."""
+        self._version = version
+
     def follow(self, wanted: bool) -> None:
         """Begin a watch or end it; one that is under way goes on."""
         if not wanted:
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -58,7 +58,7 @@
 from topazbank.interface import Discovery as DiscoveryMode
 from topazbank.net import upstream
 from topazbank.net.admin import Declined, Door, Operation
-from topazbank.net.discovery import Discovery, Told
+from topazbank.net.discovery import Discovery, Lines, Told, parse_list
 from topazbank.net.frontend import Call, Frontend, Hooks
 from topazbank.net.orders import Orders
 from topazbank.net.streams import Budget, Sink, Source
@@ -69,7 +69,7 @@
     from topazbank.lease.core import Terms
     from topazbank.peers.link import PeerLink
     from topazbank.peers.membership import Tuning
-    from topazbank.peers.transport import PeerPlane
+    from topazbank.state.keeper import Keeper, Kept
 
 log = logging.getLogger(__name__)
 
@@ -87,7 +87,6 @@
 _PUSHED_AGAIN_S = 0.5  # before a failed call to the agent that holds pushed lists is made again
 _ABOUT_BODY = (b"content-type", b"content-encoding")  # of a server's headers, these go to the client
 _FDS_KEPT = 64  # descriptors left for discovery, logs and the runtime
-_KEEP_EVERY_S = 1.0  # how often the plane's snapshot is written
 
 
 class Clock:
@@ -135,6 +134,17 @@
     trail: list[str] = field(default_factory=list)  # how its attempts ended, for the log
 
 
+@dataclass(frozen=True, slots=True)
+class StateConfig:
+    """What is kept across a crash, and where (docs/recovery.md)."""
+
+    folder: Path
+    most_bytes: int
+    tier_folder: Path | None = None  # one that all sidecars of the tier see, for the tier's snapshot
+    every_ms: int = 1000
+    warm_ms: int = 500  # how long a start with nothing kept waits for its peers' state
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """All that a sidecar is told."""
@@ -152,6 +162,7 @@
     peer_listen: Address | None = None  # where peers' datagrams come in
     peers: tuple[Address, ...] = ()  # the tier's, this one's own included, by number
     peer_plane: Tuning | None = None  # None: the peer plane is off
+    state: StateConfig | None = None  # None: nothing is kept across a crash but the orders
     duties: Terms | None = None  # of the leases of the tier's duties; None: there are none
 
 
@@ -192,8 +203,12 @@
         self._link = self._linked(config)
         self._ordered: frozenset[str] = frozenset()  # exclusions in this sidecar's own orders
         self._zone_orders: dict[str, ZoneOrder] = {}
-        self._keep_path = config.orders / "peers.snap"
-        self._keep_fault = False
+        self._keeper = self._open_state(config)
+        self._kept: Kept | None = None
+        self._lines = Lines()  # the list as it is now, for the state
+        self._keep_every_s = config.state.every_ms / 1000 if config.state is not None else 0.0
+        self._warm_s = config.state.warm_ms / 1000 if config.state is not None else 0.0
+        self._keep_timer: asyncio.TimerHandle | None = None
         self.door = Door(config.mgmt, self._operations()) if config.mgmt is not None else None
         self._carry: dict[type[Any], Callable[[Any], None]] = {
             Send: self._send,
@@ -217,9 +232,13 @@
         if self.door is not None:
             self._follow_orders()  # before the first request: a ban outlasts the process that took it
             self.door.start()
+        self._recall()
         if self._link is not None:
             await self._link.start(self._plane_bound)
         self._list(ListKind.REMEMBERED, self._known)
+        await self._learn(stop)
+        if self._keeper is not None:
+            self._keep_state()
         if self._settings.discovery is DiscoveryMode.PUSHED:
             self._discovery.follow(True)
         lag = asyncio.get_running_loop().create_task(self._watch_lag())
@@ -232,6 +251,8 @@
         self._takes_clients, self._stopping = False, True
         await self._drain()
         lag.cancel()
+        if self._keep_timer is not None:
+            self._keep_timer.cancel()
         self._discovery.stop()
         await self._upstream.close()
         if self.door is not None:
@@ -358,47 +379,64 @@
             config.peer_listen, list(config.peers), me, config.seed, config.peer_plane, config.duties
         )
         classes = [each.name for each in settings.classes]
-        return PeerLink(plane, classes, self.handle, self._asked, settings.locality.probe_us)
+        return PeerLink(plane, classes, self.handle, self._asked, self._paces, settings.locality.probe_us)
+
+    def _paces(self) -> dict[str, float]:
+        return {each.name: each.pace for each in self._balancer.ready if each.last_answer_at >= 0}
 
     def _asked(self) -> dict[str, float]:
         return asked_per_s(self._balancer, self._clock.now())
 
     def _plane_bound(self) -> None:
         assert self._link is not None
-        self._resume_plane(self._link.plane)
+        if self._kept is not None:
+            from topazbank.state.keeper import resume_plane
+
+            resume_plane(self._link.plane, self._kept)
         self._link.ban(self._ordered)
         self._follow_peers()
-        self._keep_plane(self._link.plane)
 
-    def _resume_plane(self, plane: PeerPlane) -> None:
-        """Start from the snapshot that the process before this one left, where it checks out."""
-        from topazbank.peers import keep
-        from topazbank.state.snapshot import Refused
+    # -- What outlasts a crash ------------------------------------------------------------------------
 
-        try:
-            held, whole = plane.with_core(lambda swim, now: keep.resume(swim, now, self._keep_path))
-        except (Refused, OSError, ValueError) as bad:
-            log.warning("the peer plane's snapshot is not taken, it starts cold: %s", bad)
-            return
-        told = "whole" if whole else "cut short, taken as far as it was good"
-        log.info(
-            "the peer plane resumed at incarnation %d with %d verdicts, the snapshot %s",
-            plane.swim.incarnation,
-            held,
-            told,
-        )
+    def _open_state(self, config: Config) -> Keeper | None:
+        if config.state is None:
+            return None
+        from topazbank.state.keeper import Keeper
+        from topazbank.state.store import Store
 
-    def _keep_plane(self, plane: PeerPlane) -> None:
-        from topazbank.peers import keep
+        return Keeper(Store(config.state.folder, config.state.most_bytes), config.state.tier_folder)
 
+    def _recall(self) -> None:
+        """Begin with what an earlier life kept: the list where it is newer, then what was learned."""
+        if self._keeper is None:
+            return
+        self._kept = kept = self._keeper.open()
+        if kept.listed is None or kept.listed[0] != self._discovery.place():
+            return
         try:
-            plane.with_core(lambda swim, now: keep.save(swim, now, self._keep_path))
-            self._keep_fault = False
-        except OSError as fault:
-            if not self._keep_fault:
-                log.error("the peer plane's snapshot can't be written, it serves on: %s", fault)
-            self._keep_fault = True
-        asyncio.get_running_loop().call_later(_KEEP_EVERY_S, self._keep_plane, plane)
+            told = parse_list(kept.listed[1])
+        except ValueError as bad:
+            log.warning("state: the list kept is not taken: %s", bad)
+            return
+        if told.version > self._known.version and told.lines:
+            self._known = told
+            self._discovery.begin(told.version)
+
+    async def _learn(self, stop: asyncio.Event) -> None:
+        """Take up what was kept; with nothing kept, ask the peers, for a bounded time."""
+        if self._kept is not None and self._kept.recalled.servers:
+            self.handle(self._kept.recalled)
+        elif self._link is not None and self._warm_s > 0.0:
+            recalled = await self._link.warm(stop, self._warm_s)
+            self.handle(recalled)
+
+    def _keep_state(self) -> None:
+        """Gather and write what is known, each second; it serves on where the disk says no."""
+        assert self._keeper is not None
+        plane = self._link.plane if self._link is not None else None
+        listed = (self._discovery.place(), self._lines.told()) if self._lines.version else None
+        self._keeper.keep(self._balancer, self._clock.now(), plane, listed)
+        self._keep_timer = asyncio.get_running_loop().call_later(self._keep_every_s, self._keep_state)
 
     def _follow_peers(self) -> None:
         self._hear_exclusions()
@@ -735,6 +773,8 @@
         """Note the addresses first: the balancer may send on hearing of a server."""
         if kind is not ListKind.CHANGES:
             self._upstream.retain({line.server.server for line in told.lines})
+        if self._keeper is not None:
+            self._lines.take(told)
         for line in told.lines:
             server = line.server
             self._upstream.update(server.server, line.address, server.started_at, server.state)
--- a/topazbank/peers/link.py
+++ b/topazbank/peers/link.py
@@ -14,8 +14,10 @@
 from topazbank.interface import (
     Event,
     Judged,
+    KeptServer,
     PeerVerdict,
     ProbingHeard,
+    Recalled,
     TierAsked,
     Verdict,
     VerdictsHeard,
@@ -32,6 +34,8 @@
 HELD_MOST = 256  # verdicts of this sidecar that are told at once; more are not told, and counted
 _STEP_S = 0.1  # how often what peers hold is handed to the module
 _BIND_AGAIN_S = 1.0  # between tries to bind peer_listen
+_WARM_STEP_S = 0.005  # how often a start looks whether its peers have told all
+_FACTS_MOST = 256  # servers of which a peer that starts is told the pace
 _ASKED_EVERY = 10  # steps between tellings of what this sidecar is asked
 _RENEW_EVERY = int(LIFE_MS / 3000 / _STEP_S)
 
@@ -47,10 +51,12 @@
         classes: list[str],
         hear: Callable[[Event], None],
         asked: Callable[[], Mapping[str, float]],
+        paces: Callable[[], Mapping[str, float]],
         probe_us: int,
     ) -> None:
         self.plane = plane
-        self._classes, self._hear, self._asked = classes, hear, asked
+        self._classes, self._hear = classes, hear
+        self._asked, self._paces = asked, paces
         self._held: dict[Slot, tuple[Verdict, int]] = {}
         self._untold = 0
         self._banned: frozenset[str] = frozenset()
@@ -87,6 +93,28 @@
             self._timer.cancel()
         self.plane.stop()
 
+    async def warm(self, stop: asyncio.Event, limit_s: float) -> Recalled:
+        """Ask peers for all that they hold and wait until one has told all, `limit_s` at most.
+
+        Their verdicts go to the module at once.  What they learned of servers counts half: it is theirs.
+        """
+        loop = asyncio.get_running_loop()
+        began, asked = loop.time(), 0
+        while not self.plane.swim.state_whole and not stop.is_set():
+            waited = loop.time() - began
+            if waited >= limit_s:
+                break
+            if waited >= asked * limit_s / 3:  # datagrams get lost
+                asked += 1
+                self.plane.ask_state()
+            await asyncio.sleep(min(_WARM_STEP_S, limit_s))
+        swim = self.plane.swim
+        told = "all that a peer held" if swim.state_whole else "no whole answer"
+        log.info("warm start: %s in %.0f ms", told, 1000 * (loop.time() - began))
+        self.hear_verdicts()
+        paces = {name: 1.0 + (pace / 100 - 1.0) / 2 for name, pace in swim.facts_heard.items()}
+        return Recalled({name: KeptServer(pace) for name, pace in paces.items()})
+
     # -- Out: what this sidecar holds -------------------------------------------------------------------
 
     def judged(self, action: Judged) -> None:
@@ -142,6 +170,9 @@
             self._renew()
         if self._steps % _ASKED_EVERY == 0:
             self._tell_asked()
+            paces = list(self._paces().items())[:_FACTS_MOST]
+            bounded = ((name, max(1, min(int(pace * 100), codec.PACE_MOST))) for name, pace in paces)
+            self.plane.swim.facts = dict(bounded)
             self._hear_asked()
         self.hear_verdicts()
         self._hear_probing()
--- a/topazbank/peers/membership.py
+++ b/topazbank/peers/membership.py
@@ -229,6 +229,14 @@
             if update.origin != self.me and update.origin in self.members:
                 self.verdicts.take(now_us, replace(update, ttl_ms=left_ms))
 
+    def recall_members(self, now_us: int, kept: dict[int, tuple[Status, int]]) -> None:
+        """Take the view that an earlier life had; who was dead then is suspect, until it is heard or not."""
+        for number, (status, incarnation) in kept.items():
+            member = self.members.get(number)
+            if member is not None and incarnation >= member.incarnation:
+                held = Status.SUSPECT if status is Status.DEAD else status
+                member.incarnation, member.status, member.changed_us = incarnation, held, now_us
+
     @property
     def counter(self) -> int:
         """The version of this member's latest verdict."""
--- a/topazbank/views.py
+++ b/topazbank/views.py
@@ -32,7 +32,7 @@
 
 def state_line(balancer: Balancer) -> str:
     """The state behind refusals, for the operators' log."""
-    ready = balancer._ready
+    ready = balancer.ready
     return (
         f"load {balancer._load()} of window {balancer._window:.1f}, aim spent {balancer._spent:.2f}, "
         f"late {balancer._late:.2f}; of {len(ready)} ready {len(balancer._ejected)} ejected, "
