--- /dev/null
+++ b/bench/versions.py
@@ -0,0 +1,28 @@
+"""For the benchmarks that set this version beside an earlier one: the earlier one's sources in a folder."""
+
+from __future__ import annotations
+
+import contextlib
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterator
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+sys.path.insert(0, str(ROOT / "tests" / "cluster"))  # the harness and the stand-ins
+
+
+@contextlib.contextmanager
+def sources(revision: str) -> Iterator[Path]:
+    """The tree of a commit, in a folder that goes on leaving; raise CalledProcessError for no such commit."""
+    with tempfile.TemporaryDirectory() as folder:
+        archive = subprocess.run(["git", "archive", revision], cwd=ROOT, check=True, capture_output=True)
+        subprocess.run(["tar", "-x", "-C", folder], input=archive.stdout, check=True)
+        yield Path(folder)
+
+
+def cpu_s(pid: int) -> float:
+    """Seconds of CPU that a process has taken so far, user and system."""
+    fields = Path(f"/proc/{pid}/stat").read_text(encoding="ascii").rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / 100.0
--- a/tests/cluster/harness.py
+++ b/tests/cluster/harness.py
@@ -88,6 +88,7 @@
         self.listens = [free_udp() for _ in range(size)]
         self.doors = [free_tcp() for _ in range(size)]
         self.clients = [free_tcp() for _ in range(size)]  # where clients connect
+        self.program = ROOT  # where the program lies: an earlier version's folder in benchmarks
         self.changes: Callable[[int], dict[str, Any]] = lambda _: {}  # of a sidecar's configuration
         self.by_listen = {address: number for number, address in enumerate(self.listens)}
         self.proxies: list[Proxy] = []
@@ -153,7 +154,7 @@
             sys.executable,
             "-m",
             "topazbank",
-            cwd=ROOT,
+            cwd=self.program,
             env=environ | {"RELAY_CONFIG": str(path), "TMPDIR": str(folder)},
             stderr=log,
         )
--- a/tests/cluster/test_cli.py
+++ b/tests/cluster/test_cli.py
@@ -6,8 +6,10 @@
 import json
 import sys
 from pathlib import Path
+from typing import Any
 
 from harness import ROOT, Tier, free_tcp, play, text, tier
+from world import Catalogue, world
 
 
 async def weirlock(*arguments: str) -> tuple[int, str, str]:
@@ -45,21 +47,69 @@
     play(scene())
 
 
-def test_check_config_says_ok_or_one_line(tmp_path: Path) -> None:
+def test_status_servers_and_zones_show_what_a_sidecar_under_load_holds(tmp_path: Path) -> None:
+    async def scene() -> None:
+        servers = [Catalogue("a-0", "a"), Catalogue("b-0", "b")]
+        locality = {"locality": {"on": True}}
+        async with world(tmp_path, 1, servers, "a", changes=locality) as made:
+            door = text(made.tier.doors[0])
+            made.load.start()
+            while len(made.load.answers) < 100:
+                await asyncio.sleep(0.01)
+            await made.load.stop()
+            code, out, _ = await weirlock("status", "--door", door, "--json")
+            told = json.loads(out)
+            good = sum(each.status == 200 for each in made.load.answers)
+            assert code == 0 and told["ready"] and told["answered"]["200"] == good
+            assert sum(each["count"] for each in told["latency_ms"].values()) == good
+            for each in told["latency_ms"].values():
+                assert 15.0 < each["p50"] <= each["p90"] <= each["p99"] <= each["p999"]
+            code, out, _ = await weirlock("servers", "--door", door)
+            assert code == 0 and {"a-0", "b-0"} <= {line.split(" ")[0] for line in out.splitlines()}
+            code, out, _ = await weirlock("zones", "--door", door)
+            assert code == 0 and "here: a" in out and "failed_share" in out
+            assert (await weirlock("duties", "--door", door))[:1] == (1,)  # there are none here
+
+    play(scene())
+
+
+def test_check_config_says_ok_or_a_line_for_each_fault(tmp_path: Path) -> None:
     async def scene() -> None:
         made = Tier(1, tmp_path)
         await made.open()
         good = made.config(0)
-        cases = [good, good | {"peer_plane": {"on": True, "period_ms": "fast"}}, good | {"listen": 7}]
-        results = []
-        for number, given in enumerate(cases):
+        cases: list[tuple[dict[str, Any], list[str]]] = [
+            (good, []),
+            (good | {"peer_plane": {"on": True, "period_ms": "fast"}}, ["peer_plane"]),
+            (good | {"listen": 7, "logging": {"level": "loud"}}, ["listen", "logging.level"]),
+            (good | {"locality": {"on": True, "panic": 7}, "surprise": 1}, ["locality.panic", "surprise"]),
+            (good | {"duties": {"on": True, "term_ms": 10}, "state": {"folder": 3}}, ["duties", "state"]),
+        ]
+        for number, (given, wrong) in enumerate(cases):
             path = tmp_path / f"c{number}.json"
             path.write_text(json.dumps(given), encoding="utf-8")
-            results.append(await weirlock("check-config", str(path)))
+            code, out, err = await weirlock("check-config", str(path))
+            lines = err.splitlines()
+            assert (code, out) == ((2, "") if wrong else (0, "ok\n"))
+            assert len(lines) == len(wrong)
+            for line, name in zip(lines, wrong, strict=True):
+                assert line.startswith("bad configuration: ") and name in line
         await made.close()
-        assert results[0][:2] == (0, "ok\n")
-        for code, _, err in results[1:]:
-            assert code == 2 and len(err.splitlines()) == 1 and err.startswith("bad configuration: ")
+
+    play(scene())
+
+
+def test_a_door_that_never_answers_is_waited_for_no_longer_than_told(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(silent, "127.0.0.1", 0)
+        door = text(server.sockets[0].getsockname()[:2])
+        code, out, err = await weirlock("status", "--door", door, "--wait", "0.2")
+        assert (code, out, len(err.splitlines())) == (1, "", 1) and "timed out" in err
+        server.close()
 
     play(scene())
 
--- a/tests/cluster/world.py
+++ b/tests/cluster/world.py
@@ -310,6 +310,7 @@
     clients: int = 4,
     changes: dict[str, Any] | None = None,
     setting: dict[str, Any] | None = None,
+    program: Path | None = None,
 ) -> AsyncIterator[World]:
     """A tier of `size` sidecars (sidecar i in zone `zones[i]`) before these servers, all serving on entry."""
     registry = Registry(servers)
@@ -317,6 +318,7 @@
         await each.start()
     await registry.start()
     tier = Tier(size, folder, seed)
+    tier.program = program or tier.program
 
     def given(number: int) -> dict[str, Any]:
         asked = settings(number, size, zones[number % len(zones)], **(setting or {}))
--- a/tests/test_any_sequence.py
+++ b/tests/test_any_sequence.py
@@ -146,7 +146,7 @@
         for request in self.requests.values():
             for each in request["attempts"]:
                 out[each["server"]] += each["pending"] and not each["started"]
-        for name, server in self.balancer._servers.items():
+        for name, server in self.balancer.servers.items():
             assert server.in_flight == out[name], "the count of requests in flight is off"
 
     def arrive(self, name: str, remaining_us: int, is_open: bool) -> None:
--- a/tests/test_draw.py
+++ b/tests/test_draw.py
@@ -70,7 +70,7 @@
     again = stage.request("pay")
     assert stage.target(again) in names(2)
     stage.wait(S)
-    assert stage.balancer._busy(stage.balancer._servers[hung]) <= 1
+    assert stage.balancer._busy(stage.balancer.servers[hung]) <= 1
 
 
 def _with_one_hung(stage: Stage, rounds: int) -> tuple[str, list[int]]:
@@ -124,7 +124,7 @@
     for _ in range(200):
         stage.request("pay")
         stage.wait(15 * MS)
-    ejected = [each for each in stage.balancer._servers.values() if each.ejected_until is not None]
+    ejected = [each for each in stage.balancer.servers.values() if each.ejected_until is not None]
     assert len(ejected) <= 2
 
 
@@ -148,7 +148,7 @@
     # Guards the fleet: one that is taken for restarted gets a trickle for as long as it may take to warm up.
     stage = Stage()
     stage.servers(names(3))
-    server = stage.balancer._servers[names(3)[0]]
+    server = stage.balancer.servers[names(3)[0]]
     for request in [stage.request("pay") for _ in range(6)]:  # two at each
         stage.end(request, outcome if stage.target(request) == server.name else Outcome.DELIVERED)
     assert server.ejected_until is not None and not stage.balancer._is_cold(server)
@@ -185,7 +185,7 @@
         stage.end(request, Outcome.INVALID)
         assert len(stage.sends(request)) == 1
     assert len(stage.said(Refuse)) == 20
-    assert all(each.ejected_until is None and each.pace == 1.0 for each in stage.balancer._servers.values())
+    assert all(each.ejected_until is None and each.pace == 1.0 for each in stage.balancer.servers.values())
 
 
 def test_a_timeout_of_a_server_that_answers_others_is_no_strike() -> None:
@@ -296,7 +296,7 @@
     stage = Stage()
     hung, _ = _with_one_hung(stage, 20)
     stage.servers([ListedServer(hung, "east", started_at=stage.now)], ListKind.CHANGES)
-    server = stage.balancer._servers[hung]
+    server = stage.balancer.servers[hung]
     assert server.ejected_until is None and stage.balancer._is_cold(server)
 
 
@@ -429,7 +429,7 @@
         else:
             stage.serve(400, every_us, taking_us)
         request = stage.request()
-        server = stage.balancer._servers[stage.target(request)]
+        server = stage.balancer.servers[stage.target(request)]
         stage.wait(2 * taking_us)
         before = server.pace
         stage.end(request)
--- a/tests/test_exclusions.py
+++ b/tests/test_exclusions.py
@@ -70,7 +70,7 @@
     for _ in range(3):
         assert ask(stage, SERVERS[0], True)
     assert ask(stage, SERVERS[0], False)
-    server = stage.balancer._servers[SERVERS[0]]
+    server = stage.balancer.servers[SERVERS[0]]
     assert stage.balancer._is_cold(server)
     stage.wait(11 * S)
     assert targets(stage) == set(SERVERS) and not stage.balancer._is_cold(server)
@@ -98,7 +98,7 @@
         stage.servers([ListedServer(SERVERS[0], "east", started_at=stage.now)], ListKind.CHANGES)
     stage.wait(5 * S)
     ask(stage, SERVERS[0], False)
-    server = stage.balancer._servers[SERVERS[0]]
+    server = stage.balancer.servers[SERVERS[0]]
     assert server.cold_since is not None
     assert server.cold_since + 10 * S == stage.now + waited_s * S
 
@@ -108,7 +108,7 @@
         stage = Stage(seed=seed)
         stage.servers(names(8))
         stage.serve(60)
-        server = stage.balancer._servers[SERVERS[0]]
+        server = stage.balancer.servers[SERVERS[0]]
         server.pace = 3.0
         ask(stage, server.name, True)
         stage.wait(1 * S)
@@ -140,7 +140,7 @@
     for excluded in (True, False):
         assert not ask(stage, "10.9.9.9:80", excluded)
     stage.servers(SERVERS[1:])  # the first leaves and is forgotten
-    assert SERVERS[0] not in stage.balancer._servers
+    assert SERVERS[0] not in stage.balancer.servers
     assert ask(stage, SERVERS[0], True)
     stage.servers(SERVERS)
     assert targets(stage) == set(SERVERS[1:])
@@ -170,7 +170,7 @@
     for deploy in range(10):
         stage.servers([f"{deploy}-{each}" for each in SERVERS])
     stage.servers([])
-    assert len(stage.balancer._left) == 20 and not stage.balancer._servers
+    assert len(stage.balancer._left) == 20 and not stage.balancer.servers
     assert ask(stage, f"9-{SERVERS[0]}", True)
 
 
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -29,7 +29,7 @@
     world,
 )
 
-from topazbank.__main__ import Flood
+from topazbank.logs import Flood, LogConfig, start_log
 from topazbank.net import sidecar
 from topazbank.net.upstream import Address
 
@@ -94,10 +94,36 @@
     play(scene())
 
 
-def test_a_flood_of_log_lines_is_cut() -> None:
-    flood = Flood(3)
-    lines = [logging.makeLogRecord({"created": at}) for at in (7.0, 7.1, 7.2, 7.3, 7.9, 8.0)]
+def test_a_flood_of_log_lines_is_cut_and_counted() -> None:
+    flood = Flood(5, 3)
+    times = (7.0, 7.1, 7.2, 7.3, 7.9, 8.0)
+    lines = [logging.makeLogRecord({"created": at, "msg": "lost %s"}) for at in times]
     assert [flood.filter(each) for each in lines] == [True, True, True, False, False, True]
+    assert flood.suppressed == 2 and vars(lines[-1])["suppressed"] == 2
+    others = [logging.makeLogRecord({"created": 8.5, "msg": f"word {n}"}) for n in "abcdef"]
+    assert [flood.filter(each) for each in others] == [True] * 4 + [False] * 2  # five lines in all
+
+
+def test_a_json_line_names_its_event_and_what_it_is_about(capsys: pytest.CaptureFixture[str]) -> None:
+    start_log(LogConfig(format="json"))
+    log = logging.getLogger("topazbank.net.sidecar")
+    log.info("%s: %d", "ejected s-1", 3, extra={"kind": "ejected", "server": "s-1"})
+    log.warning("the event loop was %.0f ms late", 70.2)
+    try:
+        raise ValueError("odd")
+    except ValueError:
+        log.exception("it failed on %r", "x")
+    first, second, third = [json.loads(line) for line in capsys.readouterr().err.splitlines()]
+    assert first["event"] == "ejected" and first["server"] == "s-1" and first["msg"] == "ejected s-1: 3"
+    assert first["level"] == "info" and first["subsystem"] == "net.sidecar" and first["ts"].endswith("Z")
+    assert second["event"] == "the_event_loop_was_ms_late" and second["level"] == "warning"
+    assert "ValueError: odd" in third["exception"]
+    start_log(LogConfig(format="plain", level="warning"))
+    log.info("not told")
+    log.error("told %d", 1)
+    (line,) = capsys.readouterr().err.splitlines()
+    assert line.endswith("topazbank.net.sidecar told 1")
+    logging.getLogger().handlers.clear()
 
 
 def free_address() -> Address:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -195,11 +195,11 @@
             stage.end(request, Outcome.DROPPED if deploy % 2 else Outcome.DELIVERED, answered=True)
     late = stage.request()  # its server leaves while it is out
     stage.servers(names(3))
-    assert len(stage.balancer._servers) == 4
+    assert len(stage.balancer.servers) == 4
     stage.end(late)
     stage.servers(names(3))
     stage.wait(60 * S)
-    assert len(stage.balancer._servers) == 3
+    assert len(stage.balancer.servers) == 3
     assert stage.balancer._ejected == [] and stage.balancer._load() == 0
     assert stage.sends(stage.request())
 
@@ -343,7 +343,7 @@
         stage.servers(names(5))
         stage.serve(40, every_us=200 * MS)  # one request a second to each server
         stage.servers([ListedServer("10.0.0.9:80", zone="east", started_at=stage.now)], ListKind.CHANGES)
-        began, server = stage.now, stage.balancer._servers["10.0.0.9:80"]
+        began, server = stage.now, stage.balancer.servers["10.0.0.9:80"]
         while not stage.balancer._cold_room(server, 1.0):
             stage.wait(100 * MS)
             stage.balancer._now = stage.now
@@ -368,12 +368,12 @@
     stage = Stage()
     stage.servers(names(3))
     request = stage.balancer._requests[stage.request()]
-    server = next(each for each in stage.balancer._servers.values() if each is not request.attempts[0].server)
+    server = next(each for each in stage.balancer.servers.values() if each is not request.attempts[0].server)
     for state in (ServerState.DRAINING, ServerState.GONE):
         stage.drain(server.name, state)
         assert not stage.balancer._send(request, server)
     stage.servers([server.name], ListKind.CHANGES)
-    assert stage.balancer._send(request, stage.balancer._servers[server.name])
+    assert stage.balancer._send(request, stage.balancer.servers[server.name])
 
 
 def test_the_gate_lets_no_second_copy_out_where_only_one_is_allowed() -> None:
@@ -382,7 +382,7 @@
         stage.servers(names(3))
         request = stage.balancer._requests[stage.request()]
         server = next(
-            each for each in stage.balancer._servers.values() if each is not request.attempts[0].server
+            each for each in stage.balancer.servers.values() if each is not request.attempts[0].server
         )
         assert stage.balancer._send(request, server) is allowed
 
@@ -409,7 +409,7 @@
     stage.servers(names(4))
     request = stage.request()
     live = stage.balancer._requests[request]
-    server = next(each for each in stage.balancer._servers.values() if each is not live.attempts[0].server)
+    server = next(each for each in stage.balancer.servers.values() if each is not live.attempts[0].server)
     assert stage.balancer._send(live, server)
     stage.play(AnswerStarted(request, 1, server.name, 30 * MS))
     assert [(each.request, each.attempt) for each in stage.said(Cancel)] == [(request, 0)]
@@ -430,7 +430,7 @@
         stage.wait(50 * MS)
         stage.play(AnswerStarted(request, 0, stage.target(request), 50 * MS))
     assert stage.balancer._load() == 0
-    assert all(each.in_flight == 0 for each in stage.balancer._servers.values())
+    assert all(each.in_flight == 0 for each in stage.balancer.servers.values())
     stage.wait(30 * S)
     for request in list(stage.balancer._requests):
         target = stage.target(request)
--- a/topazbank/__main__.py
+++ b/topazbank/__main__.py
@@ -14,12 +14,13 @@
 import signal
 import sys
 import tempfile
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
 from topazbank.interface import locality_from
+from topazbank.logs import Flood, LogConfig, start_log
 from topazbank.net import frontend
 from topazbank.net.discovery import Told, parse_list
 from topazbank.net.sidecar import Config, Sidecar, StateConfig
@@ -35,40 +36,91 @@
 _SOCKETS = 1024  # unless the configuration tells
 _STATE_PART = 64  # of memory_mb, what the state may take on disk, which counts as memory
 _MEMORY_MB = 64  # likewise
-_LOG_LINES = 50  # a second at most
-_REJECTED_LINES = 10  # of these, for what is not a proper request
+_REJECTED_LINES = 10  # a second, for what is not a proper request
 
 
 def read_config(environ: Mapping[str, str]) -> Config:
     """Read what the sidecar is told; raise ValueError or OSError, saying what is wrong."""
-    path = environ.get("RELAY_CONFIG")
+    given = _given(environ)
+    parts = {name: read() for name, read in _readers(given, environ).items()}
+    return _config(parts)
+
+
+def config_faults(path: str) -> list[str]:
+    """Every fault of a configuration file, each in a line of words; none where a start would take it."""
+    environ = {"RELAY_CONFIG": path}
+    faults = []
+    try:
+        given = _given(environ)
+    except (OSError, ValueError, RecursionError) as bad:
+        return [str(bad)]
+    for name, read in _readers(given, environ).items():
+        try:
+            read()
+        except (ValueError, TypeError, RecursionError) as bad:
+            faults.append(str(bad) if name in str(bad) else f"{name}: {bad}")
+    unknown = sorted(set(given) - _PLATFORM_KEYS - set(_OPERATORS_KEYS))
+    return faults + [f"{key:.60}: no such key" for key in unknown]
+
+
+def _given(environ: Mapping[str, str]) -> dict[str, Any]:
+    """The platform's file, and over it the operators' own, where WEIRLOCK_CONFIG names one (TOML)."""
+    path, own = environ.get("RELAY_CONFIG"), environ.get("WEIRLOCK_CONFIG")
     if not path:
         raise ValueError("RELAY_CONFIG names no file")
     with open(path, encoding="utf-8") as file:
         given = json.load(file)
     if not isinstance(given, dict):
         raise ValueError("an object is needed")
+    if own:
+        import tomllib  # where it is asked for: starts cost CPU
+
+        with open(own, "rb") as toml:
+            ours = tomllib.load(toml)
+        if unknown := sorted(set(ours) - set(_OPERATORS_KEYS)):
+            raise ValueError(f"{own}: {unknown[0]:.60}: no such key; known are {', '.join(_OPERATORS_KEYS)}")
+        given |= ours
+    return given
+
+
+def _readers(given: dict[str, Any], environ: Mapping[str, str]) -> dict[str, Callable[[], Any]]:
+    """How each part of the configuration is read."""
     known = given.get("known")
     mgmt = environ.get("RELAY_MGMT") or given.get("mgmt")
-    return Config(
-        listen=_address(environ.get("RELAY_LISTEN") or given.get("listen"), "listen"),
-        discovery=_address(environ.get("RELAY_DISCOVERY") or given.get("discovery"), "discovery"),
-        seed=_seed(given.get("seed", "0")),
-        sockets=_limit(given.get("limits"), "sockets", _SOCKETS),
-        memory_mb=_limit(given.get("limits"), "memory_mb", _MEMORY_MB),
-        settings=replace(
-            settings_from_wire(given.get("settings")), locality=locality_from(given.get("locality"))
+    return {
+        "listen": lambda: _address(environ.get("RELAY_LISTEN") or given.get("listen"), "listen"),
+        "discovery": lambda: _address(environ.get("RELAY_DISCOVERY") or given.get("discovery"), "discovery"),
+        "seed": lambda: _seed(given.get("seed", "0")),
+        "sockets": lambda: _limit(given.get("limits"), "sockets", _SOCKETS),
+        "memory_mb": lambda: _limit(given.get("limits"), "memory_mb", _MEMORY_MB),
+        "settings": lambda: settings_from_wire(given.get("settings")),
+        "locality": lambda: locality_from(given.get("locality")),
+        "known": lambda: Told(0, True, []) if known is None else parse_list(known),
+        "orders": lambda: Path(environ.get("TMPDIR") or tempfile.gettempdir()),
+        "mgmt": lambda: _address(mgmt, "mgmt") if mgmt is not None else None,
+        "accept_fd": lambda: _descriptor(environ.get("RELAY_ACCEPT_FD")),
+        "peer_listen": lambda: (
+            _address(given["peer_listen"], "peer_listen") if "peer_listen" in given else None
         ),
-        known=Told(0, True, []) if known is None else parse_list(known),
-        orders=Path(environ.get("TMPDIR") or tempfile.gettempdir()),
-        mgmt=_address(mgmt, "mgmt") if mgmt is not None else None,
-        accept_fd=_descriptor(environ.get("RELAY_ACCEPT_FD")),
-        peer_listen=_address(given["peer_listen"], "peer_listen") if "peer_listen" in given else None,
-        peers=tuple(_address(each, "peers[]") for each in _listed(given.get("peers", []), "peers")),
-        peer_plane=_tuning(given.get("peer_plane")),
-        duties=_terms(given.get("duties"), given.get("peer_plane")),
-        state=_state(given, environ),
-    )
+        "peers": lambda: tuple(
+            _address(each, "peers[]") for each in _listed(given.get("peers", []), "peers")
+        ),
+        "peer_plane": lambda: _tuning(given.get("peer_plane")),
+        "duties": lambda: _terms(given.get("duties"), given.get("peer_plane")),
+        "state": lambda: _state(given, environ),
+        "logging": lambda: LogConfig.from_mapping(given.get("logging")),
+    }
+
+
+def _config(parts: dict[str, Any]) -> Config:
+    settings = replace(parts.pop("settings"), locality=parts.pop("locality"))
+    return Config(settings=settings, **parts)
+
+
+_PLATFORM_KEYS = set(
+    "name listen discovery seed limits peer_listen peers peers_all known settings mgmt".split()
+)
+_OPERATORS_KEYS = ("peer_plane", "duties", "state", "locality", "logging")
 
 
 def _listed(value: Any, name: str) -> list[Any]:
@@ -165,33 +217,10 @@
     return int(value)
 
 
-class Flood(logging.Filter):
-    """Lets through so many lines a second: guards against junk from outside that would fill the log."""
-
-    def __init__(self, most: int) -> None:
-        super().__init__()
-        self._most = most
-        self._second = 0
-        self._lines = 0
-
-    def filter(self, record: logging.LogRecord) -> bool:
-        if int(record.created) != self._second:
-            self._second, self._lines = int(record.created), 0
-        self._lines += 1
-        return self._lines <= self._most
-
-
-def start_log() -> None:
-    handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(logging.Formatter("%(asctime)s %(name)s %(message)s"))
-    handler.addFilter(Flood(_LOG_LINES))
-    frontend.log.addFilter(Flood(_REJECTED_LINES))
-    logging.basicConfig(level=logging.INFO, handlers=[handler])
-
-
-async def serve(config: Config) -> None:
+async def serve(config: Config, flood: Flood) -> None:
     stop = asyncio.Event()
     sidecar = Sidecar(config)
+    sidecar.flood = flood
     loop = asyncio.get_running_loop()
     for each in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(each, stop.set)
@@ -212,16 +241,17 @@
 
 
 def main() -> int:
-    start_log()
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload
     try:
         config = read_config(os.environ)
     except (OSError, ValueError, RecursionError) as bad:
         print(f"bad configuration: {bad}".replace("\n", " "), file=sys.stderr)
         return 2
+    flood = start_log(config.logging)
+    frontend.log.addFilter(Flood(_REJECTED_LINES, _REJECTED_LINES))
     gc.freeze()  # what is loaded by now stays; collections look at requests alone
     try:
-        asyncio.run(serve(config))
+        asyncio.run(serve(config, flood))
     except OSError as fault:
         print(f"can't serve: {fault}", file=sys.stderr)
         return 1
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -168,7 +168,7 @@
         self._longest_aim = max(each.aim_us for each in settings.classes)
         self._now = 0
         self._actions: list[api.Action] = []
-        self._servers: dict[str, Server] = {}  # those listed, and those gone of which something is out
+        self.servers: dict[str, Server] = {}  # those listed, and those gone of which something is out
         self._excluded: frozenset[str] = frozenset()  # what the operators have left out, listed or not
         self._back: dict[Server, None] = {}  # servers back from their exclusion and not used since
         self._left: dict[str, None] = {}  # names that were listed once, the last to leave at the end
@@ -298,8 +298,8 @@
             self._failed_calls, self._ask_due = 0, None
         if event.kind is not api.ListKind.CHANGES:
             listed = {line.server for line in event.servers}
-            for name in self._servers.keys() - listed:
-                self._servers[name].state = api.ServerState.GONE
+            for name in self.servers.keys() - listed:
+                self.servers[name].state = api.ServerState.GONE
         for line in event.servers:
             self._server_listed(line)
         self._take_stock()
@@ -307,16 +307,16 @@
     def _take_stock(self) -> None:
         """Forget who left, and see anew who may be sent to."""
         self._forget_gone()
-        self.ready = [each for each in self._servers.values() if each.is_ready()]
+        self.ready = [each for each in self.servers.values() if each.is_ready()]
         self.ready.sort(key=lambda each: each.place)
         self.zones.take(self.ready)
 
     def _forget_gone(self) -> None:
         """Forget servers that left: each deploy brings new names.  One that comes back is a new server."""
-        gone = [each for each in self._servers.values() if each.state is api.ServerState.GONE]
+        gone = [each for each in self.servers.values() if each.state is api.ServerState.GONE]
         for each in gone:
             if not each.in_flight and not each.excluded:
-                del self._servers[each.name]
+                del self.servers[each.name]
                 self._left[each.name] = None
                 if len(self._left) > LEFT_KNOWN:
                     del self._left[next(iter(self._left))]
@@ -327,10 +327,10 @@
                     self._ejected.remove(each)
 
     def _server_listed(self, line: api.ListedServer) -> None:
-        server = self._servers.get(line.server)
+        server = self.servers.get(line.server)
         if server is None:
             server = Server(line.server, self._random.random())
-            self._servers[line.server] = server
+            self.servers[line.server] = server
             server.excluded = line.server in self._excluded
         server.zone = line.zone or self._settings.locality.servers.get(line.server, "")
         if server.state is api.ServerState.GONE:
@@ -346,7 +346,7 @@
 
     def _exclusion_asked(self, event: api.ExclusionAsked) -> None:
         """Leave a server out or use it again; a name that was never listed is passed over in silence."""
-        if event.server in self._servers or event.server in self._left or event.server in self._excluded:
+        if event.server in self.servers or event.server in self._left or event.server in self._excluded:
             asked = {event.server}
             self._exclude(self._excluded | asked if event.excluded else self._excluded - asked)
 
@@ -356,7 +356,7 @@
         It is so from the start that the list told of since, or else from now on: the list may be late.
         """
         back, self._excluded = self._excluded - names, names
-        for server in self._servers.values():
+        for server in self.servers.values():
             if server.name in names and not server.excluded:
                 server.cold_since = None
             server.excluded = server.name in names
@@ -885,11 +885,11 @@
     def _eject(self, server: Server, reason: str, most: float = EJECTED_MOST) -> None:
         if server.ejected_until is None:
             room = most * min(len(self.ready), self._reach())
-            if self._servers.get(server.name) is not server or len(self._ejected) + 1 > room:
+            if self.servers.get(server.name) is not server or len(self._ejected) + 1 > room:
                 return
             self._ejected.append(server)
             self._stuck += server.in_flight
-            self._actions.append(api.Log(f"ejected {server.name}: {reason}"))
+            self._actions.append(api.Log(f"ejected {server.name}: {reason}", "ejected", server.name))
             self._tell(server, None, api.Verdict.EJECTED, server.strikes)
             self.zones.changed()
         aims = min(EJECT_AIMS * 2**server.ejections, EJECT_AIMS_MOST)
@@ -902,7 +902,7 @@
         self._ejected.remove(server)
         self._stuck -= server.in_flight
         server.ejections = server.strikes = 0
-        self._actions.append(api.Log(f"readmitted {server.name}"))
+        self._actions.append(api.Log(f"readmitted {server.name}", "readmitted", server.name))
         server.back_at = self._now
         self._tell(server, None, api.Verdict.CLEARED)
         self.zones.changed()
@@ -925,12 +925,12 @@
         """
         heard: dict[str, dict[str | None, int]] = {}
         for each in event.verdicts:
-            old = self._servers[each.server].doubts if each.server in self._servers else {}
+            old = self.servers[each.server].doubts if each.server in self.servers else {}
             name = each.service_class
             heard.setdefault(each.server, {})[name] = 0 if old.get(name) == 0 else each.peers
-        for server in self._servers.values():
+        for server in self.servers.values():
             server.doubts = heard.get(server.name, {})
-        self._doubted = any(each.doubts for each in self._servers.values())
+        self._doubted = any(each.doubts for each in self.servers.values())
         left = {e.server: e.peers for e in event.verdicts if e.verdict is api.Verdict.ZONE_LEFT}
         for zone in self.zones.by_name.values():
             zone.told = left.get(zone.name, 0)
@@ -964,7 +964,7 @@
         self.zones.leave(self._now, zone)
         span, self._late = SPARSE_AIMS * self._longest_aim, 0.0
         self._too_late, self._shed = Rate(span), Rate(span)  # what was late was there
-        self._actions.append(api.Log(f"left zone {zone.name}: {len(zone.failing)} servers fail"))
+        self._actions.append(api.Log(f"left zone {zone.name}: its servers fail", "zone_left", zone.name))
         self._actions.append(api.Judged(zone.name, api.Verdict.ZONE_LEFT, None, len(zone.failing)))
         for request in list(self._requests.values()):
             for each in request.attempts:
@@ -975,7 +975,7 @@
         if zone is None or zone.left_at is None:
             return
         self.zones.come_back(self._now, zone)
-        self._actions.append(api.Log(f"zone {zone.name} is back, easing in"))
+        self._actions.append(api.Log(f"zone {zone.name} is back, easing in", "zone_back", zone.name))
         self._actions.append(api.Judged(zone.name, api.Verdict.CLEARED))
         for server in [each for each in self._ejected if each.zone == zone.name]:
             self._readmit(server)  # what ejected it is what took its zone
@@ -988,7 +988,7 @@
             self._actions += [api.Probe(name) for name in inside and [self._stagger.choice(inside)]]
 
     def _probe_ended(self, event: api.ProbeEnded) -> None:
-        server = self._servers.get(event.server)
+        server = self.servers.get(event.server)
         if server is not None:
             self._zone_back(self.zones.probed(server, event.outcome is Outcome.DELIVERED))
 
--- a/topazbank/cli.py
+++ b/topazbank/cli.py
@@ -1,14 +1,14 @@
 """The `weirlock` command: run a sidecar, check a configuration, and call a running sidecar's door.
 
     weirlock run                          # as `python -m topazbank`: RELAY_CONFIG names the configuration
-    weirlock check-config FILE            # one line per error, exit 2; "ok" and 0 where it is good
-    weirlock members --door HOST:PORT     # the peer plane's view (GET /api/members)
+    weirlock check-config FILE            # one line for each error, exit 2; "ok" and 0 where it is good
+    weirlock status --door HOST:PORT      # GET /api/status; servers, members, zones, duties likewise
     weirlock ban ID --door HOST:PORT      # PUT /api/exclude/ID; unban: /api/include/ID
     weirlock drain --door HOST:PORT       # PUT /api/evacuate; undrain: /api/rejoin
-    weirlock ready --door HOST:PORT
+    weirlock drain-zone ZONE, pin-zone ZONE, free-zone ZONE, ready
 
 The door is the operators' existing HTTP (docs/on-call.md); `--door` may be left out where the file given by
-`--config` names `mgmt`.  A door that does not answer within `--wait` seconds is said in one line, exit 1.
+`--config` names `mgmt`.  Exit 0: yes; 1: no, or no answer within `--wait` seconds; 2: no door is known.
 """
 
 from __future__ import annotations
@@ -23,13 +23,22 @@
 from topazbank import __main__ as program
 
 _CALLS = {
+    "status": ("GET", "status"),
+    "servers": ("GET", "servers"),
     "members": ("GET", "members"),
+    "zones": ("GET", "zones"),
+    "duties": ("GET", "duties"),
     "ready": ("GET", "ready"),
     "ban": ("PUT", "exclude/{}"),
     "unban": ("PUT", "include/{}"),
     "drain": ("PUT", "evacuate"),
     "undrain": ("PUT", "rejoin"),
+    "drain-zone": ("PUT", "drain-zone/{}"),
+    "pin-zone": ("PUT", "pin-zone/{}"),
+    "free-zone": ("PUT", "free-zone/{}"),
 }
+_ANSWER_MOST = 16 << 20  # bytes of the door's answer that are read
+_TABLED = ("servers", "zones")
 
 
 def main(argv: list[str] | None = None) -> int:
@@ -45,27 +54,27 @@
     parser = argparse.ArgumentParser(prog="weirlock", description="A sidecar load balancer and its door.")
     commands = parser.add_subparsers(dest="command", required=True)
     commands.add_parser("run", help="serve, as python -m topazbank (RELAY_CONFIG names the configuration)")
-    check = commands.add_parser("check-config", help="read a configuration and say what is wrong with it")
+    check = commands.add_parser("check-config", help="read a configuration and say all that is wrong with it")
     check.add_argument("file")
-    for name in _CALLS:
-        one = commands.add_parser(name, help=f"{_CALLS[name][0]} /api/{_CALLS[name][1].format('ID')}")
-        if "{}" in _CALLS[name][1]:
-            one.add_argument("server", help="the server's id as discovery names it")
+    for name, (method, path) in _CALLS.items():
+        one = commands.add_parser(name, help=f"{method} /api/{path.format('ID')}")
+        if "{}" in path:
+            one.add_argument("ident", metavar="ID", help="the server's id, or the zone's name")
         one.add_argument("--door", help="HOST:PORT of the door")
         one.add_argument("--config", help="a configuration whose mgmt names the door")
         one.add_argument("--wait", type=float, default=3.0, help="seconds to wait for an answer (3)")
+        one.add_argument("--json", action="store_true", help="the answer as it came")
     return parser
 
 
 def check_config(path: str) -> int:
-    """Read the file as a start would; print `ok` or the one thing that is wrong."""
-    try:
-        program.read_config({"RELAY_CONFIG": path})
-    except (OSError, ValueError, RecursionError) as bad:
-        print(f"bad configuration: {bad}".replace("\n", " "), file=sys.stderr)
-        return 2
-    print("ok")
-    return 0
+    """Read the file as a start would; print `ok` or a line for each thing that is wrong."""
+    faults = program.config_faults(path)
+    for fault in faults:
+        print(f"bad configuration: {fault}".replace("\n", " "), file=sys.stderr)
+    if not faults:
+        print("ok")
+    return 2 if faults else 0
 
 
 def call(arguments: Any) -> int:
@@ -77,18 +86,21 @@
         )
         return 2
     method, path = _CALLS[arguments.command]
-    path = "/api/" + path.format(quote(getattr(arguments, "server", ""), safe=""))
+    path = "/api/" + path.format(quote(getattr(arguments, "ident", ""), safe=""))
     host, _, port = door.rpartition(":")
     try:
         connection = http.client.HTTPConnection(host, int(port), timeout=arguments.wait)
         connection.request(method, path)
         answer = connection.getresponse()
-        body = answer.read().decode("utf-8", "replace").strip()
+        body = answer.read(_ANSWER_MOST).decode("utf-8", "replace").strip()
     except (OSError, ValueError, http.client.HTTPException) as fault:
         print(f"the door at {door} did not answer: {fault}", file=sys.stderr)
         return 1
-    print(_shown(body) if answer.status == 200 else f"no ({answer.status}): {body}")
-    return 0 if answer.status == 200 else 1
+    if answer.status != 200:
+        print(f"no ({answer.status}): {body}")
+        return 1
+    print(body if arguments.json else _shown(arguments.command, body))
+    return 0
 
 
 def _door_of(config: str | None) -> str | None:
@@ -102,11 +114,34 @@
     return mgmt if isinstance(mgmt, str) else None
 
 
-def _shown(body: str) -> str:
+def _shown(command: str, body: str) -> str:
+    """An answer for a person: a table where it is one of like things, else indented JSON."""
     try:
-        return json.dumps(json.loads(body), indent=2)
+        told = json.loads(body)
     except ValueError:
         return body
+    if command in _TABLED and isinstance(told, dict):
+        rows = told.get("zones") if command == "zones" else told
+        if isinstance(rows, dict) and rows and all(isinstance(each, dict) for each in rows.values()):
+            rest = {key: value for key, value in told.items() if key != "zones"} if command == "zones" else {}
+            return "\n".join([*(f"{key}: {value}" for key, value in rest.items()), _table(rows)])
+    return json.dumps(told, indent=2)
+
+
+def _table(rows: dict[str, dict[str, Any]]) -> str:
+    columns = list(next(iter(rows.values())))
+    lines = [["", *columns]]
+    for name, row in rows.items():
+        lines.append([name, *(_cell(row.get(column)) for column in columns)])
+    widths = [max(len(line[at]) for line in lines) for at in range(len(columns) + 1)]
+    padded = (zip(line, widths, strict=True) for line in lines)
+    return "\n".join("  ".join(cell.ljust(width) for cell, width in line).rstrip() for line in padded)
+
+
+def _cell(value: Any) -> str:
+    if isinstance(value, dict):
+        return " ".join(f"{key}={each}" for key, each in value.items()) or "-"
+    return "-" if value is None else str(value)
 
 
 if __name__ == "__main__":
--- a/topazbank/interface.py
+++ b/topazbank/interface.py
@@ -743,9 +743,11 @@
 
 @dataclass(slots=True)
 class Log:
-    """A line for the operators."""
+    """A line for the operators: its words, the event's name, and the server or zone it is about."""
 
     text: str
+    kind: str = ""
+    about: str = ""
 
 
 Action = (
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -56,6 +56,7 @@
     ZonesOrdered,
 )
 from topazbank.interface import Discovery as DiscoveryMode
+from topazbank.logs import LogConfig
 from topazbank.net import upstream
 from topazbank.net.admin import Declined, Door, Operation
 from topazbank.net.discovery import Discovery, Lines, Told, parse_list
@@ -63,10 +64,12 @@
 from topazbank.net.orders import Orders
 from topazbank.net.streams import Budget, Sink, Source
 from topazbank.net.upstream import Address, Exchange, Headers, Response
-from topazbank.views import asked_per_s, state_line, zones_view
+from topazbank.views import asked_per_s, servers_view, state_line, zones_view
 
 if TYPE_CHECKING:  # loaded where the plane is on: a start without it costs no more CPU
     from topazbank.lease.core import Terms
+    from topazbank.logs import Flood
+    from topazbank.net.latency import Latencies
     from topazbank.peers.link import PeerLink
     from topazbank.peers.membership import Tuning
     from topazbank.state.keeper import Keeper, Kept
@@ -162,6 +165,7 @@
     peer_listen: Address | None = None  # where peers' datagrams come in
     peers: tuple[Address, ...] = ()  # the tier's, this one's own included, by number
     peer_plane: Tuning | None = None  # None: the peer plane is off
+    logging: LogConfig = field(default_factory=LogConfig)
     state: StateConfig | None = None  # None: nothing is kept across a crash but the orders
     duties: Terms | None = None  # of the leases of the tier's duties; None: there are none
 
@@ -180,6 +184,9 @@
         self._events: deque[Event] = deque()
         self._handling = False
         self._answers: Counter[int] = Counter()  # by status, since the log was last told
+        self._answered: Counter[int] = Counter()  # and before that
+        self._latencies = _latencies(config)
+        self.flood: Flood | None = None  # what bounds the log, for the operators' view
         self._cpu_told_s = 0.0
         self._trails = 0  # since the log was last told
         half = max((config.sockets - _FDS_KEPT) // 2, 1)
@@ -222,7 +229,7 @@
             FetchList: lambda _: self._discovery.fetch(),
             Exclude: self._exclude,
             Judged: self._judged,
-            Log: lambda action: log.info("%s", action.text),
+            Log: self._log,
         }
 
     # -- Life -----------------------------------------------------------------------------------------
@@ -306,18 +313,26 @@
                 told_at = loop.time()
                 self._log_state()
 
+    @staticmethod
+    def _log(action: Log) -> None:
+        about = "zone" if action.kind.startswith("zone") else "server"
+        log.info("%s", action.text, extra={"kind": action.kind, about: action.about})
+
     def _log_state(self) -> None:
         """Tell how things stand, where anything was asked since it was last told."""
         self._trails = 0
         if self._answers:
-            counts = ", ".join(f"{count} x {status}" for status, count in sorted(self._answers.items()))
+            answered = {str(status): count for status, count in sorted(self._answers.items())}
+            counts = ", ".join(f"{count} x {status}" for status, count in answered.items())
+            self._answered.update(self._answers)
             self._answers.clear()
             clients = len(self.frontend.connections)
             held, state = len(self._by_call), state_line(self._balancer)
             cpu_s = time.process_time() - self._cpu_told_s
             self._cpu_told_s += cpu_s
             told = "answered %s; %d clients, %d held, %d connections to servers, %.2f s of CPU; %s"
-            log.info(told, counts, clients, held, self._upstream.open_count, cpu_s, state)
+            about = {"kind": "state", "answered": answered}
+            log.info(told, counts, clients, held, self._upstream.open_count, cpu_s, state, extra=about)
 
     def _is_ready(self) -> bool:
         return not self.frontend.draining
@@ -328,6 +343,8 @@
         return {
             "ready": ("GET", self._tell_ready),
             "members": ("GET", self._tell_members),
+            "status": ("GET", self._tell_status),
+            "servers": ("GET", self._tell_servers),
             "zones": ("GET", self._tell_zones),
             "duties": ("GET", self._tell_duties),
             "drain-zone/": ("PUT", partial(self._order_zone, order=ZoneOrder.DRAIN)),
@@ -348,6 +365,29 @@
             raise Declined(404, "the peer plane is off")
         return json.dumps(self._link.describe() | {"excluded": sorted(self._excluded)})
 
+    def _tell_status(self, _: str) -> str:
+        """The whole of this sidecar at a glance; latencies in ms."""
+        both = self._answered + self._answers
+        answered = {str(status): count for status, count in sorted(both.items())}
+        told = {
+            "ready": self._takes_clients and self._is_ready(),
+            "held": len(self._by_call),
+            "clients": len(self.frontend.connections),
+            "connections_to_servers": self._upstream.open_count,
+            "answered": answered,
+            "state": state_line(self._balancer),
+            "cpu_s": round(time.process_time(), 3),
+            "log_lines_suppressed": self.flood.suppressed if self.flood is not None else 0,
+            "latency_ms": self._latencies.classes() if self._latencies is not None else {},
+        }
+        return json.dumps(told)
+
+    def _tell_servers(self, _: str) -> str:
+        told = servers_view(self._balancer, self._clock.now())
+        for name, server in told.items():
+            server["latency_ms"] = self._latencies.server(name) if self._latencies is not None else None
+        return json.dumps(told)
+
     def _tell_zones(self, _: str) -> str:
         return json.dumps(zones_view(self._balancer.zones, self._clock.now()))
 
@@ -610,6 +650,8 @@
         if status != 200 or self._clock.now() - live.taken_at > self._aims.get(live.call.service_class, 0):
             self._log_trail(live, str(status))
         self._answers[status] += 1
+        if status == 200 and self._latencies is not None:
+            self._latencies.answered(live.call.service_class, self._clock.now() - live.taken_at)
         self._mark_answered(live)
         live.call.answer(status, headers, body)
 
@@ -622,6 +664,8 @@
         if self._trails > _TRAILS:
             return
         call = live.call
+        took_ms = (self._clock.now() - live.taken_at) / 1000
+        about = {"kind": "request_ended", "request": call.ident[:40], "class": call.service_class[:40]}
         log.info(
             "%s %s from port %d, %.3f s given: %s -> %s after %.1f ms",
             call.ident[:40],
@@ -630,7 +674,8 @@
             call.budget_us / 1e6,
             ", ".join(live.trail) + (f" ({len(live.out)} out)" if live.out else ""),
             end,
-            (self._clock.now() - live.taken_at) / 1000,
+            took_ms,
+            extra=about | {"status": end, "took_ms": round(took_ms, 1), "attempts": live.trail},
         )
 
     def _mark_answered(self, live: Live) -> None:
@@ -727,6 +772,8 @@
                 self._log_trail(live, "answer broken off")
             elapsed = live.first_byte_us
         elif outcome is Outcome.DELIVERED and response is not None:
+            if self._latencies is not None:
+                self._latencies.served(server, elapsed)
             self._answer(live, 200, _about_body(response.headers), response.body)
         report = self._report(response)
         self._forget_if_over(live)
@@ -782,6 +829,15 @@
         self._upstream.forget_gone()
 
 
+def _latencies(config: Config) -> Latencies | None:
+    """Histograms where there is a door to show them: without one nobody would see them."""
+    if config.mgmt is None:
+        return None
+    from topazbank.net.latency import Latencies
+
+    return Latencies()
+
+
 @contextlib.contextmanager
 def _storing() -> Iterator[None]:
     try:
--- a/topazbank/views.py
+++ b/topazbank/views.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from typing import Any
 
-from topazbank.balancer import Balancer
+from topazbank.balancer import Balancer, Server
 from topazbank.locality import Zone, Zones
 
 
@@ -46,3 +46,24 @@
     for (_, tenant), rate in balancer.mix.items():
         asked[tenant or ""] += int(rate.per_us(now) * 1e8)
     return {tenant: hundredths / 100.0 for tenant, hundredths in asked.items()}
+
+
+def servers_view(balancer: Balancer, now: int) -> dict[str, dict[str, Any]]:
+    """Each server on the list and what is held of it; times in ms."""
+    return {each.name: _server(balancer, each, now) for each in balancer.servers.values()}
+
+
+def _server(balancer: Balancer, server: Server, now: int) -> dict[str, Any]:
+    until = server.ejected_until
+    return {
+        "zone": server.zone,
+        "state": server.state.value,
+        "excluded": server.excluded,
+        "in_flight": server.in_flight,
+        "pace": round(server.pace, 2),
+        "warmth": round(balancer._warmth(server), 2),
+        "strikes": server.strikes,
+        "ejected_for_ms": None if until is None else max(until - now, 0) // 1000,
+        "peers_against": max(server.doubts.values(), default=0),
+        "told": {name or "all": verdict.name.lower() for name, verdict in server.told.items()},
+    }
