--- a/tests/cluster/harness.py
+++ b/tests/cluster/harness.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import os
 import random
@@ -31,17 +32,24 @@
 Address = tuple[str, int]
 
 
-def free_tcp() -> Address:
-    with socket.create_server(("127.0.0.1", 0)) as free:
-        host, port = free.getsockname()[:2]
-        return host, port
+_hosts = itertools.count(1)
 
 
-def free_udp() -> Address:
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as free:
-        free.bind(("127.0.0.1", 0))
-        host, port = free.getsockname()[:2]
-        return host, port
+def new_host() -> str:
+    """A loopback address that nothing else of this machine's tests listens on or connects from."""
+    number = next(_hosts)
+    return f"127.{64 + os.getpid() % 128}.{os.getpid() // 128 % 256}.{1 + number % 254}"
+
+
+def free_ports(host: str, count: int, kind: socket.SocketKind = socket.SOCK_STREAM) -> list[Address]:
+    """Ports that are free on `host`, all picked before any is given back, so that they differ."""
+    with contextlib.ExitStack() as held:
+        found = []
+        for _ in range(count):
+            sock = held.enter_context(socket.socket(socket.AF_INET, kind))
+            sock.bind((host, 0))
+            found.append((host, int(sock.getsockname()[1])))
+        return found
 
 
 def text(address: Address) -> str:
@@ -85,9 +93,10 @@
     def __init__(self, size: int, folder: Path, seed: int = 7) -> None:
         self.size, self.folder = size, folder
         self.faults = Faults()
-        self.listens = [free_udp() for _ in range(size)]
-        self.doors = [free_tcp() for _ in range(size)]
-        self.clients = [free_tcp() for _ in range(size)]  # where clients connect
+        host = new_host()
+        tcp = free_ports(host, 2 * size)
+        self.listens = free_ports(host, size, socket.SOCK_DGRAM)
+        self.doors, self.clients = tcp[:size], tcp[size:]  # where operators and clients connect
         self.program = ROOT  # where the program lies: an earlier version's folder in benchmarks
         self.changes: Callable[[int], dict[str, Any]] = lambda _: {}  # of a sidecar's configuration
         self.by_listen = {address: number for number, address in enumerate(self.listens)}
@@ -165,7 +174,8 @@
 
     async def kill(self, number: int) -> None:
         process = self.processes.pop(number)
-        process.kill()
+        with contextlib.suppress(ProcessLookupError):  # it ended by itself: what waits for it says so
+            process.kill()
         await process.wait()
 
     async def close(self) -> None:
@@ -208,11 +218,18 @@
         """Wait until the coroutine function `condition` is true; give the seconds it took."""
         loop = asyncio.get_running_loop()
         began = loop.time()
-        async with asyncio.timeout(patience_s):
-            while not await condition():
-                await asyncio.sleep(0.05)
+        while not await condition():
+            if loop.time() - began > patience_s:
+                raise AssertionError(f"it did not come in {patience_s} s; logs end:\n{self.logs()}")
+            await asyncio.sleep(0.05)
         return loop.time() - began
 
+    def logs(self, lines: int = 6) -> str:
+        """The last lines of each sidecar's log."""
+        paths = [self.folder / f"n{number}" / "log" for number in range(self.size)]
+        ends = [path.read_text("utf-8").splitlines()[-lines:] for path in paths if path.exists()]
+        return "\n".join(line for end in ends for line in end)
+
 
 @contextlib.asynccontextmanager
 async def tier(size: int, folder: Path, seed: int = 7) -> AsyncIterator[Tier]:
--- a/tests/cluster/test_cli.py
+++ b/tests/cluster/test_cli.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import Any
 
-from harness import ROOT, Tier, free_tcp, play, text, tier
+from harness import ROOT, Tier, free_ports, new_host, play, text, tier
 from world import Catalogue, world
 
 
@@ -39,7 +39,7 @@
             assert code == 0 and json.loads(out)["excluded"] == ["s-1"]
             code, out, _ = await weirlock("ban", "nobody", "--door", door)
             assert code == 1 and out.startswith("no (404)")
-        code, _, err = await weirlock("members", "--door", text(free_tcp()), "--wait", "1")
+        code, _, err = await weirlock("members", "--door", text(free_ports(new_host(), 1)[0]), "--wait", "1")
         assert code == 1 and len(err.splitlines()) == 1 and "did not answer" in err
         code, _, err = await weirlock("drain")
         assert code == 2 and err.startswith("no door")
--- a/tests/cluster/test_peer_plane.py
+++ b/tests/cluster/test_peer_plane.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import json
 import signal
 import socket
 from pathlib import Path
 
 import msgpack  # type: ignore[import-untyped]
-from harness import Tier, play, tier
+from harness import PLANE, Tier, play, tier
+from world import Catalogue, World, world
 
 from topazbank.interface import Verdict
 from topazbank.peers import codec
@@ -149,3 +151,37 @@
 
 async def _told(made: Tier, number: int) -> bool:
     return await made.members(number) is not None
+
+
+def test_what_one_sidecar_learned_of_servers_reaches_the_others_and_ends(tmp_path: Path) -> None:
+    async def scene() -> None:
+        servers = [Catalogue(f"a-{number}", "a") for number in range(5)]
+        async with world(tmp_path, 3, servers, "a", plane=PLANE) as made:
+            made.tier.faults.loss = 0.1
+            await made.tier.until(lambda: all_alive(made.tier))
+            servers[0].die()
+            servers[1].fails = {"pay"}
+            made.load.pay_every = 3
+            made.load.start([0])  # the others have no traffic of their own
+            for number in (1, 2):
+                await made.tier.until(lambda n=number: against(made, n, "a-0"))
+                await made.tier.until(lambda n=number: against(made, n, "a-1"))
+            await servers[0].restart()
+            made.registry.change()
+            servers[1].fails = set()
+            await made.tier.until(lambda: nothing_against(made, (1, 2)))
+
+    play(scene())
+
+
+async def against(made: World, number: int, server: str) -> bool:
+    status, body = await made.tier.call(number, "GET", "/api/servers")
+    return status == 200 and json.loads(body)[server]["peers_against"] == 1
+
+
+async def nothing_against(made: World, numbers: tuple[int, ...]) -> bool:
+    for number in numbers:
+        status, body = await made.tier.call(number, "GET", "/api/servers")
+        if status != 200 or any(each["peers_against"] for each in json.loads(body).values()):
+            return False
+    return True
--- a/topazbank/locality.py
+++ b/topazbank/locality.py
@@ -210,10 +210,10 @@
         if self._shares is None:
             kept = {each.name for each in self.by_name.values() if each.is_kept()}
             sound = [sum(e.ejected_until is None and e.zone in kept for e in level) for level in self._levels]
-            drained = sum(e.listed for e in self.by_name.values() if e.order is ZoneOrder.DRAIN)
-            self.panicking = sound[-1] < self.given.panic * (len(self._levels[-1]) - drained)
-            parts = [good / max(len(level), 1) for good, level in zip(sound, self._levels, strict=True)]
+            drained = {each.name for each in self.by_name.values() if each.order is ZoneOrder.DRAIN}
+            sizes = [sum(each.zone not in drained for each in level) for level in self._levels]
+            self.panicking = sound[-1] < self.given.panic * sizes[-1]
+            parts = [good / max(size, 1) for good, size in zip(sound, sizes, strict=True)]
             wide = 0.0 if self.panicking else self.given.overprovision
-            pairs = zip(parts[:-1], sound, strict=False)
-            self._shares = [min(wide * part, 1.0) if good > 1 else 0.0 for part, good in pairs]
+            self._shares = [min(wide * parts[at], 1.0) if sound[at] > 1 else 0.0 for at in (0, 1)]
         return self._shares
