--- a/bench/versions.py
+++ b/bench/earlier.py
@@ -1,4 +1,4 @@
-"""For the benchmarks that set this version beside an earlier one: the earlier one's sources in a folder."""
+"""For the benchmarks: the harness made known, an earlier version's sources in a folder, CPU of a process."""
 
 from __future__ import annotations
 
@@ -22,6 +22,12 @@
         yield Path(folder)
 
 
+def revision() -> str:
+    """The commit that is measured."""
+    told = subprocess.run(["git", "rev-parse", "--short", "HEAD"], cwd=ROOT, capture_output=True, text=True)
+    return told.stdout.strip()
+
+
 def cpu_s(pid: int) -> float:
     """Seconds of CPU that a process has taken so far, user and system."""
     fields = Path(f"/proc/{pid}/stat").read_text(encoding="ascii").rpartition(")")[2].split()
--- a/bench/logging_cost.py
+++ b/bench/logging_cost.py
@@ -16,7 +16,7 @@
 from pathlib import Path
 from typing import Any
 
-from versions import ROOT, cpu_s, sources
+from earlier import ROOT, cpu_s, sources
 from world import Catalogue, world
 
 BEFORE = "51ec53d"  # the last version that logged plain text alone
--- a/tests/cluster/world.py
+++ b/tests/cluster/world.py
@@ -77,6 +77,7 @@
         self.fails: set[str] = set()  # classes that it answers with 500
         self.since_ms = 0  # Unix time of its last start; 0: long ago
         self.answered = self.probes = 0
+        self.met: Counter[int] = Counter()  # attempts that came, whatever became of them, by sidecar
         self.runs: Counter[str] = Counter()  # of what may not run twice, by call id
         self.over = 0.0
         self._arrived: deque[float] = deque()
@@ -125,6 +126,7 @@
                         writer.write(said(200))
                     continue
                 self._take()
+                self.met[int(headers.get("x-call-id", "0")[:2], 16)] += 1
                 if headers.get("x-call-class") == "pay":
                     self.runs[headers.get("x-call-id", "")] += 1
                 if self.silent:
@@ -223,7 +225,7 @@
         loop = asyncio.get_running_loop()
         streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
         while not self._stop:
-            pay, ident = rng.randrange(self.pay_every) == 0, f"{rng.getrandbits(64):016x}"
+            pay, ident = rng.randrange(self.pay_every) == 0, f"{sidecar:02x}{rng.getrandbits(56):014x}"
             began, status, server = loop.time(), 0, ""
             try:
                 if streams is None:
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -950,7 +950,7 @@
                 continue  # its own answers, or its start since, say more
             server.pace = min(max(kept.pace, 1.0 / PACE_CLIP), PACE_CLIP)
             if kept.ejected_us > 0 and server.ejected_until is None:
-                self._eject(server, "recalled")
+                self._eject(server, "recalled", EJECTED_MOST * len(self.ready) / self._reach())
 
     # -- Zones: left as a whole, tried by one request or by who probes for all ------------------------
 
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -422,7 +422,9 @@
         return PeerLink(plane, classes, self.handle, self._asked, self._paces, settings.locality.probe_us)
 
     def _paces(self) -> dict[str, float]:
-        return {each.name: each.pace for each in self._balancer.ready if each.last_answer_at >= 0}
+        """What peers that start may take: of servers that answered and are held nothing against."""
+        sound = (each for each in self._balancer.ready if each.last_answer_at >= 0 and not each.told)
+        return {each.name: each.pace for each in sound if each.ejected_until is None}
 
     def _asked(self) -> dict[str, float]:
         return asked_per_s(self._balancer, self._clock.now())
--- a/topazbank/peers/link.py
+++ b/topazbank/peers/link.py
@@ -96,7 +96,8 @@
     async def warm(self, stop: asyncio.Event, limit_s: float) -> Recalled:
         """Ask peers for all that they hold and wait until one has told all, `limit_s` at most.
 
-        Their verdicts go to the module at once.  What they learned of servers counts half: it is theirs.
+        Their verdicts go to the module at once.  What they learned of servers' paces counts half: it is
+        theirs.
         """
         loop = asyncio.get_running_loop()
         began, asked = loop.time(), 0
@@ -113,7 +114,9 @@
         log.info("warm start: %s in %.0f ms", told, 1000 * (loop.time() - began))
         self.hear_verdicts()
         paces = {name: 1.0 + (pace / 100 - 1.0) / 2 for name, pace in swim.facts_heard.items()}
-        return Recalled({name: KeptServer(pace) for name, pace in paces.items()})
+        out = self.plane.with_core(lambda core, now: core.tier_ejected(now))
+        names = sorted({*paces, *out})
+        return Recalled({name: KeptServer(paces.get(name, 1.0), int(name in out)) for name in names})
 
     # -- Out: what this sidecar holds -------------------------------------------------------------------
 
--- a/topazbank/peers/membership.py
+++ b/topazbank/peers/membership.py
@@ -283,6 +283,15 @@
             for (server, slot), most in sorted(held.items())
         ]
 
+    def tier_ejected(self, now_us: int) -> frozenset[str]:
+        """Servers that half of the live peers hold ejected now, and two of them at least: for a member that
+        starts and knows nothing itself."""
+        live, held = set(self.alive()), Counter[str]()
+        for update, _ in self.verdicts.live(now_us):
+            if update.origin in live and update.verdict is Verdict.EJECTED:
+                held[update.server] += 1
+        return frozenset(server for server, count in held.items() if count >= max(2, len(live) / 2))
+
     def tier_asked(self, now_us: int) -> dict[str, float]:
         """What the live peers were asked of late in all, requests a second by tenant."""
         live, asked = set(self.alive()), Counter[str]()
--- a/topazbank/state/keeper.py
+++ b/topazbank/state/keeper.py
@@ -139,9 +139,9 @@
     pack = msgpack.packb
     for server in balancer.ready[:SERVERS_MOST]:
         if server.last_answer_at >= 0 or server.ejected_until is not None:
-            left = max((server.ejected_until or now) - now, 0)
-            pace = round(server.pace / _FINE) * _FINE
-            left = left // 1_000_000 * 1_000_000  # whole seconds: not a change each time
+            pace, until = round(server.pace / _FINE) * _FINE, server.ejected_until
+            # In whole seconds, so that it is no change each time; one at least, while it waits for its trial.
+            left = 0 if until is None else max((until - now) // 1_000_000, 1) * 1_000_000
             yield f"server/{server.name}", pack([round(pace, 2), left, server.started_at])
     yield "usual", pack([[name, size, int(us // 1000) * 1000] for (name, size), us in balancer.norms.items()])
     yield "bearable", pack(float(f"{balancer.bearable:.2g}"))
