--- a/tests/cluster/test_peer_plane.py
+++ b/tests/cluster/test_peer_plane.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import signal
 import socket
@@ -13,7 +14,7 @@
 
 from topazbank.interface import Verdict
 from topazbank.peers import codec
-from topazbank.peers.codec import VerdictUpdate
+from topazbank.peers.codec import Kind, Message, VerdictUpdate
 from topazbank.state import snapshot
 from topazbank.state.store import Store
 
@@ -185,3 +186,45 @@
         if status != 200 or any(each["peers_against"] for each in json.loads(body).values()):
             return False
     return True
+
+
+def test_under_thirty_percent_loss_a_ban_reaches_all_and_a_death_is_found(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with tier(4, tmp_path, seed=23) as made:
+            await made.until(lambda: all_alive(made))
+            made.faults.loss = 0.3
+            assert (await made.call(0, "PUT", "/api/exclude/s-1"))[0] == 200
+            await made.until(lambda: _excluded(made, {"s-1"}))
+            await made.kill(3)
+            for each in (0, 1, 2):  # one by one: at this loss a view may waver
+                await made.until(lambda n=each: _holds(made, 3, {"dead"}, among=(n,)), 60.0)
+
+    play(scene())
+
+
+def test_a_peer_that_lies_repeats_and_sends_too_much_takes_no_server_away(tmp_path: Path) -> None:
+    async def scene() -> None:
+        servers = [Catalogue(f"a-{number}", "a") for number in range(4)]
+        async with world(tmp_path, 3, servers, "a", plane=PLANE) as made:
+            await made.tier.until(lambda: all_alive(made.tier))
+            await made.tier.kill(2)  # from now on the test speaks for it
+            liar = made.tier.proxies[2].transport
+            assert liar is not None
+            lies: list[codec.Update] = [
+                VerdictUpdate(2, 0, 100 + n, f"a-{n}", Verdict.EJECTED, 1 << 16, 60_000) for n in range(4)
+            ]
+            lies.append(VerdictUpdate(2, 0, 200, "a", Verdict.ZONE_LEFT, 99, 60_000, codec.ZONE))
+            data = [codec.encode(Message(Kind.DIRECT, 0, 1, -1, (lie,)))[0] for lie in lies]
+            for number in (0, 1):
+                for _ in range(20):  # the same again and again
+                    for each in [*data, data[0] * 9, b"\xff" * 1400]:
+                        liar.sendto(each, made.tier.listens[number])
+                await made.tier.until(lambda n=number: _dropped(made.tier, n, "malformed", 20))
+                await made.tier.until(lambda n=number: against(made, n, "a-3"))
+            made.load.start([0, 1])
+            while len(made.load.answers) < 200:
+                await asyncio.sleep(0.01)
+            assert {each.status for each in made.load.answers} == {200}
+            assert {each.server for each in made.load.answers} == {each.name for each in servers}
+
+    play(scene())
--- a/tests/cluster/test_zones.py
+++ b/tests/cluster/test_zones.py
@@ -84,6 +84,27 @@
     play(scene())
 
 
+def test_a_zone_that_flaps_is_left_each_time_and_no_request_is_lost_to_it(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with world(tmp_path, 1, two_zones(), "b", changes=LOCALITY) as made:
+            made.load.pay_every = 10**9  # of what may be repeated
+            made.load.start()
+            await answered(made, 200)
+            for _ in range(3):
+                await made.kill_zone("b")
+                await made.tier.until(lambda: made.left("b"))
+                await answered(made, 50)
+                await made.return_zone("b", tell=False)
+                await made.tier.until(lambda: made.all_in("b"))
+                await answered(made, 50)
+            await made.load.stop()
+            assert {each.status for each in made.load.answers} == {200}
+            log = (tmp_path / "n0" / "log").read_text("utf-8")
+            assert log.count('"zone_left"') == log.count('"zone_back"') == 3
+
+    play(scene())
+
+
 def test_where_every_zone_fails_all_stay_in_use(tmp_path: Path) -> None:
     async def scene() -> None:
         servers = two_zones()
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -10,10 +10,12 @@
 
 import msgpack  # type: ignore[import-untyped]
 import pytest
+from helpers import Stage
 from hypothesis import given
 from hypothesis import strategies as st
 
 from topazbank.state import snapshot, tier
+from topazbank.state.keeper import Keeper
 from topazbank.state.store import Store
 
 MOST = 1 << 20
@@ -139,6 +141,27 @@
     assert Store(tmp_path, MOST).open().records == states[-1] | {"usual": b"later"}
 
 
+def test_a_disk_that_says_no_is_logged_once_and_then_made_good(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    stage = Stage()
+    stage.servers(["s-1", "s-2"])
+    stage.serve(10)
+    keeper = Keeper(Store(tmp_path, MOST))
+    keeper.open()
+
+    def full(_: int) -> None:
+        raise OSError(errno.ENOSPC, "no space left")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(os, "fsync", full)
+        for _ in range(5):
+            keeper.keep(stage.balancer, stage.now, None, None)
+    assert [each.levelname for each in caplog.records].count("ERROR") == 1
+    keeper.keep(stage.balancer, stage.now, None, None)
+    assert set(Keeper(Store(tmp_path, MOST)).open().recalled.servers) == {"s-1", "s-2"}
+
+
 def test_what_is_kept_is_bounded_and_the_log_is_folded(tmp_path: Path) -> None:
     store = Store(tmp_path, 64 * 1024)
     store.open()
