--- a/bench/logging_cost.py
+++ b/bench/logging_cost.py
@@ -11,14 +11,20 @@
 
 import argparse
 import asyncio
+import io
+import logging
 import statistics
 import tempfile
+import time
 from pathlib import Path
 from typing import Any
 
 from earlier import ROOT, cpu_s, sources
 from world import Catalogue, world
 
+from topazbank.logs import LogConfig, start_log
+
+_log = logging.getLogger(__name__)
 BEFORE = "51ec53d"  # the last version that logged plain text alone
 
 
@@ -47,12 +53,30 @@
             return 1e6 * spent / done, lines / took
 
 
+def a_line(format: str, lines: int = 5000) -> float:
+    """CPU us to render one line of the log, with all that is told of a request that ended badly."""
+    start_log(LogConfig(format=format, lines_per_s=100_000, repeats_per_s=100_000))
+    handler = logging.getLogger().handlers[0]
+    assert isinstance(handler, logging.StreamHandler)
+    handler.setStream(io.StringIO())
+    about = {"kind": "request_ended", "request": "9b1f03aa5c7e2d41", "class": "look", "status": "500"}
+    about |= {"took_ms": 3.1, "attempts": ["s-1 error 500 3.0 ms"]}  # type: ignore[dict-item]
+    began = time.process_time()
+    for number in range(lines):
+        _log.info("%s from port %d -> %s", "look", number, "500", extra=about)
+    logging.getLogger().handlers.clear()
+    return 1e6 * (time.process_time() - began) / lines
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__.split("\n\n")[0])
     parser.add_argument("--before", default=BEFORE)
     parser.add_argument("--rounds", type=int, default=5)
     parser.add_argument("--requests", type=int, default=4000)
     args = parser.parse_args()
+    for format in ("plain", "json"):
+        cost = a_line(format)
+        print(f"a line, {format:5} {cost:5.1f} us; 50 a second {50 * cost / 1e6:.3%} of a core")
     with sources(args.before) as old:
         variants: dict[str, tuple[Path, dict[str, Any]]] = {
             f"before ({args.before}), plain": (old, {}),
