Read live members' verdicts in one place; make the kept list's JSON once a change

A second reading of the change found four views of the peer plane that each filtered the table of verdicts by live origin, the list rendered as JSON each second though it rarely changes, counts by status sorted in two places, and one wait for answers written in two tests. Each has one piece now; behaviour is as before.

--- a/tests/cluster/test_recovery.py
+++ b/tests/cluster/test_recovery.py
@@ -16,12 +16,6 @@
     return [Catalogue(f"a-{number}", "a") for number in range(count)]
 
 
-async def answered(made: World, count: int) -> None:
-    most = len(made.load.answers) + count
-    while len(made.load.answers) < most:
-        await asyncio.sleep(0.01)
-
-
 def log_of(folder: Path, number: int) -> str:
     return (folder / f"n{number}" / "log").read_text(encoding="utf-8")
 
@@ -37,7 +31,7 @@
     async def scene() -> None:
         async with world(tmp_path, 1, servers(), "a", changes=STATE) as made:
             made.load.start()
-            await answered(made, 200)
+            await made.load.answered(200)
             dead = made.servers[0]
             dead.die()
             await made.tier.until(lambda: logged(tmp_path, 0, "ejected a-0"))
@@ -46,7 +40,7 @@
             assert "servers and 0 verdicts recalled" in log_of(tmp_path, 0)
             assert "ejected a-0: recalled" in log_of(tmp_path, 0)
             at = asyncio.get_running_loop().time()
-            await answered(made, 100)
+            await made.load.answered(100)
             assert sum(each.status == 200 for each in made.load.since(at)) >= 90
             await made.load.stop()
             assert not made.ran_twice()
@@ -58,7 +52,7 @@
     async def scene() -> None:
         async with world(tmp_path, 3, servers(), "a", plane=PLANE, changes=STATE) as made:
             made.load.start()
-            await answered(made, 300)
+            await made.load.answered(300)
             made.servers[0].die()
             await made.tier.until(lambda: held(made, 1, "a-0"))
             await made.tier.until(lambda: held(made, 2, "a-0"))
@@ -85,7 +79,7 @@
             await made.tier.until(made.tier.all_ready)
             assert "warm start: no whole answer" in log_of(tmp_path, 0)
             made.load.start([0])
-            await answered(made, 50)
+            await made.load.answered(50)
             assert {each.status for each in made.load.answers} == {200}
 
     play(scene())
--- a/tests/cluster/world.py
+++ b/tests/cluster/world.py
@@ -218,6 +218,12 @@
         self._stop = True
         await asyncio.gather(*self._tasks)
 
+    async def answered(self, count: int) -> None:
+        """Wait until so many more answers have come."""
+        most = len(self.answers) + count
+        while len(self.answers) < most:
+            await asyncio.sleep(0.01)
+
     def since(self, at: float) -> list[Answer]:
         return [each for each in self.answers if each.at >= at]
 
--- a/topazbank/net/discovery.py
+++ b/topazbank/net/discovery.py
@@ -97,6 +97,7 @@
     def __init__(self) -> None:
         self.version = 0
         self._lines: dict[str, Listed] = {}
+        self._text: str | None = None  # until the list changes
 
     def take(self, told: Told) -> None:
         if told.complete:
@@ -105,7 +106,13 @@
             self._lines[line.server.server] = line
             if line.server.state is ServerState.GONE:
                 del self._lines[line.server.server]
-        self.version = told.version
+        self.version, self._text = told.version, None
+
+    def text(self) -> str:
+        """The list as JSON, made once for each time it changes: it is kept every second."""
+        if self._text is None:
+            self._text = json.dumps(self.told())
+        return self._text
 
     def told(self) -> dict[str, Any]:
         return {
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -322,7 +322,7 @@
         """Tell how things stand, where anything was asked since it was last told."""
         self._trails = 0
         if self._answers:
-            answered = {str(status): count for status, count in sorted(self._answers.items())}
+            answered = _by_status(self._answers)
             counts = ", ".join(f"{count} x {status}" for status, count in answered.items())
             self._answered.update(self._answers)
             self._answers.clear()
@@ -367,14 +367,12 @@
 
     def _tell_status(self, _: str) -> str:
         """The whole of this sidecar at a glance; latencies in ms."""
-        both = self._answered + self._answers
-        answered = {str(status): count for status, count in sorted(both.items())}
         told = {
             "ready": self._takes_clients and self._is_ready(),
             "held": len(self._by_call),
             "clients": len(self.frontend.connections),
             "connections_to_servers": self._upstream.open_count,
-            "answered": answered,
+            "answered": _by_status(self._answered + self._answers),
             "state": state_line(self._balancer),
             "cpu_s": round(time.process_time(), 3),
             "log_lines_suppressed": self.flood.suppressed if self.flood is not None else 0,
@@ -476,7 +474,7 @@
         """Gather and write what is known, each second; it serves on where the disk says no."""
         assert self._keeper is not None
         plane = self._link.plane if self._link is not None else None
-        listed = (self._discovery.place(), self._lines.told()) if self._lines.version else None
+        listed = (self._discovery.place(), self._lines.text()) if self._lines.version else None
         self._keeper.keep(self._balancer, self._clock.now(), plane, listed)
         self._keep_timer = asyncio.get_running_loop().call_later(self._keep_every_s, self._keep_state)
 
@@ -831,6 +829,10 @@
         self._upstream.forget_gone()
 
 
+def _by_status(answers: Counter[int]) -> dict[str, int]:
+    return {str(status): count for status, count in sorted(answers.items())}
+
+
 def _latencies(config: Config) -> Latencies | None:
     """Histograms where there is a door to show them: without one nobody would see them."""
     if config.mgmt is None:
--- a/topazbank/peers/membership.py
+++ b/topazbank/peers/membership.py
@@ -259,24 +259,26 @@
             1 for each in self.verdicts.holding(now_us, server, verdict, self.me) if each.origin in live
         )
 
+    def _told(self, now_us: int) -> list[VerdictUpdate]:
+        """The unexpired verdicts of live members other than this one."""
+        live = set(self.alive())
+        return [update for update, _ in self.verdicts.live(now_us) if update.origin in live]
+
     def tier_bans(self, now_us: int) -> frozenset[str]:
         """Servers that the operators of at least `ban_quorum` live peers have left out now.
 
         `ban_most` at most: those held by the most peers first, then by name."""
-        live, held = set(self.alive()), Counter[str]()
-        for update, _ in self.verdicts.live(now_us):
-            if update.origin in live and update.verdict is Verdict.BANNED:
-                held[update.server] += 1
+        held = Counter(each.server for each in self._told(now_us) if each.verdict is Verdict.BANNED)
         chosen = sorted((-count, server) for server, count in held.items() if count >= self.tuning.ban_quorum)
         return frozenset(server for _, server in chosen[: self.tuning.ban_most])
 
     def tier_verdicts(self, now_us: int, classes: list[str]) -> list[PeerVerdict]:
         """What live peers hold against servers, classes and zones now, one line each, in a fixed order."""
-        live, held = set(self.alive()), dict[tuple[str, int], Counter[Verdict]]()
-        for update, _ in self.verdicts.live(now_us):
+        held = dict[tuple[str, int], Counter[Verdict]]()
+        for update in self._told(now_us):
             against = update.verdict not in (Verdict.CLEARED, Verdict.BANNED, Verdict.ASKS)
             named = update.slot < len(classes) and update.slot not in (codec.BAN, codec.ASKED)
-            if update.origin in live and against and named:
+            if against and named:
                 held.setdefault((update.server, update.slot), Counter())[update.verdict] += 1
         return [
             PeerVerdict(server, most.most_common(1)[0][0], classes[slot] if slot >= 0 else None, most.total())
@@ -286,17 +288,15 @@
     def tier_ejected(self, now_us: int) -> frozenset[str]:
         """Servers that half of the live peers hold ejected now, and two of them at least: for a member that
         starts and knows nothing itself."""
-        live, held = set(self.alive()), Counter[str]()
-        for update, _ in self.verdicts.live(now_us):
-            if update.origin in live and update.verdict is Verdict.EJECTED:
-                held[update.server] += 1
-        return frozenset(server for server, count in held.items() if count >= max(2, len(live) / 2))
+        held = Counter(each.server for each in self._told(now_us) if each.verdict is Verdict.EJECTED)
+        enough = max(2, len(self.alive()) / 2)
+        return frozenset(server for server, count in held.items() if count >= enough)
 
     def tier_asked(self, now_us: int) -> dict[str, float]:
         """What the live peers were asked of late in all, requests a second by tenant."""
-        live, asked = set(self.alive()), Counter[str]()
-        for update, _ in self.verdicts.live(now_us):
-            if update.origin in live and update.slot == codec.ASKED and update.verdict is Verdict.ASKS:
+        asked = Counter[str]()
+        for update in self._told(now_us):
+            if update.slot == codec.ASKED and update.verdict is Verdict.ASKS:
                 asked[update.server] += update.evidence
         return {tenant: hundredths / 100.0 for tenant, hundredths in asked.items()}
 
--- a/topazbank/state/keeper.py
+++ b/topazbank/state/keeper.py
@@ -113,11 +113,16 @@
                 log.error("the tier's snapshot can't be written: %s", fault)
             self._tier_fault = True
 
-    def keep(self, balancer: Balancer, now: int, plane: PeerPlane | None, listed: Any) -> None:
-        """Gather all that is to be kept and write what changed.  `now` is the balancer's clock in us."""
+    def keep(
+        self, balancer: Balancer, now: int, plane: PeerPlane | None, listed: tuple[str, str] | None
+    ) -> None:
+        """Gather all that is to be kept and write what changed.
+
+        `now` is the balancer's clock in us; `listed` where discovery is and the list as JSON.
+        """
         fresh = dict(_records(balancer, now, plane))
         if listed is not None:
-            fresh["list"] = msgpack.packb([listed[0], json.dumps(listed[1])])
+            fresh["list"] = msgpack.packb(listed)
         for prefix in ("server/", "member/", "verdict/"):
             for key in self.store.keys(prefix):
                 if key not in fresh:
