Ask a silent watch anew while there is time, twice in a row; supervise it; close all at the end

Ruled out: the module (it leaves a server at once on hearing) and discovery refusing (each call was answered).

Calls of a watch wait 1.5 to 2.5 s, by chance, and 1 s more is silence; the next call hardly waits. Two silent calls in a row are made again at once, then the waits after failed calls hold; pushed lists likewise.

The end of a run closes discovery's calls, clients (answers first, 0.05 s at most), connections and timers, in one place.

--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -289,13 +289,13 @@
         self._ask_in(wait * (0.25 + 0.75 * self._random.random()))
 
     def _servers_listed(self, event: api.ServersListed) -> None:
-        if event.kind is api.ListKind.FAILED or (event.kind is api.ListKind.SILENT and self._failed_calls):
-            self._ask_again_later()
-            return
-        if event.kind is api.ListKind.SILENT:  # its news counts as told 2 s after its wait: ask at once
-            self._failed_calls = 1
+        if event.kind is api.ListKind.SILENT and self._failed_calls < 2:  # its news soon counts as told
+            self._failed_calls += 1
             self._ask()
             return
+        if event.kind in (api.ListKind.FAILED, api.ListKind.SILENT):
+            self._ask_again_later()
+            return
         if event.kind is not api.ListKind.REMEMBERED:
             self._failed_calls, self._ask_due = 0, None
         if event.kind is not api.ListKind.CHANGES:
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -35,6 +35,7 @@
 _LOOK_AGAIN_S = 0.05  # after which what waited unread in a stall has been read
 _ACCEPTED_AT_ONCE = 64  # connections taken in one step of the event loop
 _LET_GO_EVERY_S = 0.02  # how often a drain looks for connections that came to rest
+_FLUSH_STEP_S = 0.005  # how often the end looks whether its last answers have left
 _ACCEPT_PAUSE_S = 0.05  # after a failed accept, descriptors lacking: no spinning
 _WHOLE_S = 2.5  # what a head may take from its first byte: slow ones take 2 s, and after 3 s an end is owed
 _BODY_BEGINS_S = 1.5  # after its head, when a body must have begun to come
@@ -318,6 +319,18 @@
         if self._transport is not None:
             self._transport.close()
 
+    def abort(self) -> None:
+        """Close at once; what is not written yet never will be."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def finish(self) -> None:
+        """Close once what is written has arrived: closing on unread bytes would reset it away."""
+        if self._lingering_until is None and not self.is_idle():
+            self._linger()
+        elif self._lingering_until is None:
+            self.close()
+
     def _read(self) -> None:
         """Take what has come, up to the end of one request and a bounded number of events in a step."""
         if self._more:
@@ -530,7 +543,7 @@
 
     def _linger(self) -> None:
         """End our side and drop what still comes: closing on unread bytes would reset the answer away."""
-        if self._transport is not None:
+        if self._transport is not None and not self._transport.is_closing():
             loop = asyncio.get_running_loop()
             self._lingering_until = loop.time() + _LINGER_MOST_S
             self._transport.resume_reading()
@@ -717,3 +730,17 @@
 
     def is_empty(self) -> bool:
         return not self.connections and not self._starting
+
+    async def close(self, within_s: float) -> None:
+        """End all connections, each with its answer on the wire first; none lasts longer than `within_s`."""
+        if self._letting_go is not None:
+            self._letting_go.cancel()
+        loop = asyncio.get_running_loop()
+        until = loop.time() + within_s
+        for connection in list(self.connections):
+            connection.finish()
+        while not self.is_empty() and loop.time() < until:
+            await asyncio.sleep(_FLUSH_STEP_S)
+        for connection in list(self.connections):
+            connection.abort()
+        await asyncio.sleep(0)  # their ends are told in the next turn
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -77,7 +77,9 @@
 log = logging.getLogger(__name__)
 
 _ACCEPT_S = 0.5  # after SIGTERM, how long connections are still taken: they come for 0.4 s
-_LINGER_S = 0.65  # and how much longer than the longest deadline all may last
+_LINGER_S = 0.65  # when those just opened are closed too, whose request did not come
+_LAST_S = 0.62  # how much longer than the longest deadline all may last: the platform's kill comes after 0.7
+_FLUSH_S = 0.05  # and what the last answers may take from there onto the wire
 _DEADLINE_MOST_S = 3.0  # the platform waits for no longer deadline than this
 _DRAIN_STEP_S = 0.02  # how often a drain looks at what is left
 _KEPT_S = 0.4  # where others take the clients, how long connections at rest may still end by an answer
@@ -87,6 +89,7 @@
 _LAG_TOLD_S = 0.05  # and from when on it is logged
 _STATE_EVERY_S = 1.0  # how often the log is told how things stand
 _TRAILS = 20  # and of how many requests that ended badly, at most, in that time
+_UNHEARD_SPANS = 2.5  # of the time without asking, after which a watch that ended is begun again by itself
 _PUSHED_AGAIN_S = 0.5  # before a failed call to the agent that holds pushed lists is made again
 _ABOUT_BODY = (b"content-type", b"content-encoding")  # of a server's headers, these go to the client
 _FDS_KEPT = 64  # descriptors left for discovery, logs and the runtime
@@ -183,6 +186,9 @@
         self._idents = itertools.count(1)
         self._events: deque[Event] = deque()
         self._handling = False
+        self._timers: dict[int, asyncio.TimerHandle] = {}
+        self._timer_numbers = itertools.count()
+        self._over = False  # nothing is begun any more
         self._answers: Counter[int] = Counter()  # by status, since the log was last told
         self._answered: Counter[int] = Counter()  # and before that
         self._latencies = _latencies(config)
@@ -195,7 +201,8 @@
         dial_s, idle_s = limits.dial_timeout_us / 1e6, limits.idle_close_us / 1e6
         self._upstream = upstream.Upstream(dial_s, idle_s, half, budget)
         self._known = config.known
-        self._discovery = Discovery(config.discovery, config.known.version, self._told)
+        again_s = _UNHEARD_SPANS * settings.rules.ask_within_us / 1e6
+        self._discovery = Discovery(config.discovery, config.known.version, self._told, again_s)
         hooks = Hooks(self._taken, self._gone, self._is_ready, self._body_ended)
         self.frontend = Frontend(config.listen, half, hooks, settings, config.accept_fd, budget)
         self._takes_over = config.accept_fd is not None
@@ -215,7 +222,6 @@
         self._lines = Lines()  # the list as it is now, for the state
         self._keep_every_s = config.state.every_ms / 1000 if config.state is not None else 0.0
         self._warm_s = config.state.warm_ms / 1000 if config.state is not None else 0.0
-        self._keep_timer: asyncio.TimerHandle | None = None
         self.door = Door(config.mgmt, self._operations()) if config.mgmt is not None else None
         self._carry: dict[type[Any], Callable[[Any], None]] = {
             Send: self._send,
@@ -235,33 +241,47 @@
     # -- Life -----------------------------------------------------------------------------------------
 
     async def run(self, stop: asyncio.Event) -> None:
-        """Serve until `stop`, then answer all that is held and return."""
+        """Serve until `stop`, then answer all that is held and return, with nothing left behind."""
+        lag = asyncio.get_running_loop().create_task(self._watch_lag())
+        try:
+            await self._start(stop)
+            await stop.wait()
+            self._takes_clients, self._stopping = False, True
+            await self._drain()
+        finally:
+            lag.cancel()
+            await self._end()
+
+    async def _start(self, stop: asyncio.Event) -> None:
         if self.door is not None:
             self._follow_orders()  # before the first request: a ban outlasts the process that took it
             self.door.start()
         self._recall()
         if self._link is not None:
             await self._link.start(self._plane_bound)
-        self._list(ListKind.REMEMBERED, self._known)
+        if not self._listed.is_set():  # else discovery has answered meanwhile, after a reload
+            self._list(ListKind.REMEMBERED, self._known)
         await self._learn(stop)
         if self._keeper is not None:
             self._keep_state()
         if self._settings.discovery is DiscoveryMode.PUSHED:
             self._discovery.follow(True)
-        lag = asyncio.get_running_loop().create_task(self._watch_lag())
         if self._takes_over:
             await self._first_of(stop, self._listed, _LISTED_S)
         if not stop.is_set():
             self.frontend.start()
             self._takes_clients = True
-        await stop.wait()
-        self._takes_clients, self._stopping = False, True
-        await self._drain()
-        lag.cancel()
-        if self._keep_timer is not None:
-            self._keep_timer.cancel()
-        self._discovery.stop()
+
+    async def _end(self) -> None:
+        """Close what is open and cancel what is planned, whether or not all was answered."""
+        self.frontend.stop(take=False)
+        await self.frontend.close(0.0)
+        await self._discovery.close()
         await self._upstream.close()
+        self._over = True
+        for timer in self._timers.values():
+            timer.cancel()
+        self._timers.clear()
         if self.door is not None:
             self.door.stop()
         if self._link is not None:
@@ -291,13 +311,14 @@
             await asyncio.sleep(_ACCEPT_S)
             self.frontend.stop()
         longest = max(each.deadline_us for each in self._settings.classes) / 1e6
-        last = began + min(longest, _DEADLINE_MOST_S) + _LINGER_S
+        last = began + min(longest, _DEADLINE_MOST_S) + _LAST_S
         while not self.frontend.is_empty() and loop.time() < last:
             await asyncio.sleep(_DRAIN_STEP_S)
             if loop.time() >= began + _LINGER_S:
                 self.frontend.close_idle(used=False)  # those just opened too: their request did not come
         for live in list(self._by_call.values()):
             self._answer(live, 500, [], b"")
+        await self.frontend.close(_FLUSH_S)
         log.info("drained")
 
     async def _watch_lag(self) -> None:
@@ -476,11 +497,11 @@
         plane = self._link.plane if self._link is not None else None
         listed = (self._discovery.place(), self._lines.text()) if self._lines.version else None
         self._keeper.keep(self._balancer, self._clock.now(), plane, listed)
-        self._keep_timer = asyncio.get_running_loop().call_later(self._keep_every_s, self._keep_state)
+        self._later(self._keep_every_s, self._keep_state)
 
     def _follow_peers(self) -> None:
         self._hear_exclusions()
-        asyncio.get_running_loop().call_later(_ORDERS_EVERY_S, self._follow_peers)
+        self._later(_ORDERS_EVERY_S, self._follow_peers)
 
     def _hear_exclusions(self) -> None:
         """The module hears this sidecar's own orders and the bans that the plane holds for the tier."""
@@ -507,7 +528,7 @@
     def _follow_orders(self) -> None:
         """Follow what is stored; of two processes in an upgrade either may have been told."""
         self._read_orders()
-        asyncio.get_running_loop().call_later(_ORDERS_EVERY_S, self._follow_orders)
+        self._later(_ORDERS_EVERY_S, self._follow_orders)
 
     def _read_orders(self) -> None:
         try:
@@ -805,7 +826,19 @@
     # -- Timers and the list --------------------------------------------------------------------------
 
     def _set_timer(self, action: SetTimer) -> None:
-        asyncio.get_running_loop().call_later(action.in_us / 1e6, self.handle, TimerFired(action.token))
+        self._later(action.in_us / 1e6, self.handle, TimerFired(action.token))
+
+    def _later(self, wait_s: float, call: Callable[..., None], *about: object) -> None:
+        """Call after this wait, unless the run has ended by then."""
+        if self._over:
+            return
+        number = next(self._timer_numbers)
+        run = partial(self._timer_due, number, call, *about)
+        self._timers[number] = asyncio.get_running_loop().call_later(wait_s, run)
+
+    def _timer_due(self, number: int, call: Callable[..., None], *about: object) -> None:
+        del self._timers[number]
+        call(*about)
 
     def _told(self, told: Told | None, silent: bool = False) -> None:
         if told is not None:
@@ -814,7 +847,8 @@
             return
         self.handle(ServersListed(ListKind.SILENT if silent else ListKind.FAILED))
         if self._settings.discovery is DiscoveryMode.PUSHED:
-            asyncio.get_running_loop().call_later(_PUSHED_AGAIN_S, self._discovery.follow, True)
+            wait_s = 0.0 if silent else _PUSHED_AGAIN_S  # silence took its time already
+            self._later(wait_s, self._discovery.follow, True)
 
     def _list(self, kind: ListKind, told: Told) -> None:
         """Note the addresses first: the balancer may send on hearing of a server."""
