Send nothing on for a client that has left; give each dial and connection one owner

Cause: a client that leaves was seen only by an event of its socket. A request read together with its end was sent first; a FULL answer that came in the turn of the end was drawn again; a client that is not read (64 KiB sent ahead, a full upload) was never seen; the last byte of an upload left before the end behind it was read. Sidecar._send now looks at the socket (a peek; a poll for RDHUP where bytes wait), so does a dial that comes up and an upload before its last byte, and clients that are not read are looked at every 0.1 s. What is sent more than 64 KiB ahead is read and dropped, as its end would stand behind a full window for ever; the answer then ends the connection. A long answer whose client left runs to its end where nothing may be cancelled.

The look within a dial showed the count of open connections going to -1: a dial that ended its own exchange was taken for cancelled, and its connection was counted down again when it closed (so for a request that can't be written). Dials and connections are now two sets and the count is their size. An address that is no name raised ValueError past the dial, which kept its place for good. A dial to where a server was goes elsewhere, unsent, when the server moves or restarts; a send to a server that the list has ended or that is forgotten is unsent, not maybe-run, and a probe is told so too; the module hears a list before what it ends.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -7,7 +7,7 @@
 import json
 import socket
 import struct
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine, Iterator
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -84,7 +84,8 @@
             await self._serve(reader, writer)
         finally:
             self._serving.discard(task)
-            writer.close()
+            if not task.get_loop().is_closed():
+                writer.close()
 
     async def end(self) -> None:
         """Stop, with nothing left behind."""
@@ -299,3 +300,20 @@
         return await asyncio.wait_for(reader.read(1), PATIENCE_S) == b""
     except ConnectionError:
         return True
+
+
+@contextlib.contextmanager
+def deaf() -> Iterator[Address]:
+    """A listener whose queue is full: connections to it never come up."""
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(0)
+    fillers = [socket.socket() for _ in range(8)]
+    for each in fillers:
+        each.setblocking(False)
+        each.connect_ex(listener.getsockname())
+    try:
+        yield listener.getsockname()[:2]
+    finally:
+        for each in (*fillers, listener):
+            each.close()
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import socket
-from collections.abc import Iterator
 
 import h11
 import pytest
@@ -15,6 +13,7 @@
     FakeServer,
     answer,
     ask,
+    deaf,
     play,
     request,
     reset,
@@ -23,7 +22,7 @@
 )
 
 from topazbank.interface import AttemptEnded, Outcome, ServerState
-from topazbank.net.upstream import Address, Exchange, Order, Response, Upstream, connect, judge, parse_report
+from topazbank.net.upstream import Exchange, Order, Response, Upstream, connect, judge, parse_report
 
 
 def served(*_: object) -> bytes:
@@ -306,23 +305,6 @@
     play(scene())
 
 
-@contextlib.contextmanager
-def deaf() -> Iterator[Address]:
-    """A listener whose queue is full: connections to it never come up."""
-    listener = socket.socket()
-    listener.bind(("127.0.0.1", 0))
-    listener.listen(0)
-    fillers = [socket.socket() for _ in range(8)]
-    for each in fillers:
-        each.setblocking(False)
-        each.connect_ex(listener.getsockname())
-    try:
-        yield listener.getsockname()[:2]
-    finally:
-        for each in (*fillers, listener):
-            each.close()
-
-
 @pytest.mark.parametrize(("dial_limit", "seconds"), [(0.1, 30.0), (30.0, 0.1)])
 def test_a_dial_ends_at_its_own_limit_and_at_the_end_of_the_attempt(
     dial_limit: float, seconds: float
--- a/topazbank/net/discovery.py
+++ b/topazbank/net/discovery.py
@@ -22,9 +22,7 @@
 # A watch that fell silent has its news counted as told 6 s later, or 2 s after its wait where that is later.
 # It is noticed 3.5 s after its call at the latest, and asked anew at once by a call that hardly waits: where
 # that one is silent too, the third goes out 5.6 s after the first.
-_WAIT_MS = (
-    1_500  # how long a call of a watch may wait, at least: service that fell silent is noticed after it
-)
+_WAIT_MS = 1_500  # how long a call of a watch may wait, at least: silence is noticed after it
 _WAIT_SPREAD = 1_000 / 1_500  # and by up to how much longer, by chance: not all sidecars call in one moment
 _LATE_S = 1.0  # what the answer may take beyond the wait
 _QUICK_MS = 100  # the wait of a call after silence: its answer tells at once whether the service is there
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -25,13 +25,14 @@
     Source,
     Upload,
 )
-from topazbank.net.upstream import Address, Headers, end_to_end, is_quiet
+from topazbank.net.upstream import Address, Headers, end_to_end, has_ended, is_quiet
 
 log = logging.getLogger(__name__)
 
 _READY_PATH = b"/health/ready"
 _API_PATH = b"/api"
 _BACKLOG = 512
+_LOOK_S = 0.1  # how often it is seen whether a client that is not read has left
 _LOOK_AGAIN_S = 0.05  # after which what waited unread in a stall has been read
 _ACCEPTED_AT_ONCE = 64  # connections taken in one step of the event loop
 _LET_GO_EVERY_S = 0.02  # how often a drain looks for connections that came to rest
@@ -80,6 +81,7 @@
     answer: Callable[[int, Headers, bytes], None]
     begin: Callable[[Headers, int | None, Source], Sink | None]  # in place of `answer`, where that is long
     upload: Upload | None = None  # in place of the body, where that is long
+    look: Callable[[], None] = lambda: None  # whether its client is still there; if not, it is told gone
 
 
 @dataclass(slots=True)
@@ -192,10 +194,15 @@
         self._paused = False  # nothing is read for now
         self._lingering_until: float | None = None  # what still comes is dropped: its framing is lost
         self._due: asyncio.TimerHandle | None = None  # when a request that is awaited must have come whole
+        self._looking: asyncio.TimerHandle | None = None  # when it is seen whether an unread client has left
         self._began = 0.0  # when it began to be awaited
         self._body_from = 0.0  # since when its body is counted
         self._body_came = 0  # bytes of it since then
         self._came_at = 0.0  # when the last of them came
+        self._drops = (
+            False  # it sent too far ahead: it is read no more but for its end, which its answer brings
+        )
+        self._dropped = 0  # bytes so far
         self._uploaded = 0  # bytes of a long body, from its beginning
         self.used = False  # whether it has carried a request
 
@@ -210,6 +217,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._frontend.lost(self)
         self._await_no_more()
+        if self._looking is not None:
+            self._looking.cancel()
         self._count_unread(0)
         self._let_body_go()
         self._client_gone()
@@ -221,6 +230,9 @@
         if self._lingering_until is not None:
             self._linger_on()
             return
+        if self._drops:
+            self._drop(data)
+            return
         self._came_at = asyncio.get_running_loop().time()
         try:
             self._h11.receive_data(data)
@@ -229,8 +241,14 @@
             return
         if self._upload is not None or (self._call is None and not self._stuck):
             self._read()
-        elif len(self._h11.trailing_data[0]) > HELD_WHOLE and self._transport is not None:
-            self._transport.pause_reading()  # it sends ahead; what is held is bounded
+        elif len(self._h11.trailing_data[0]) > HELD_WHOLE:
+            self._drops = True  # it sends ahead; what is held is bounded, and its leaving must be seen
+
+    def _drop(self, data: bytes) -> None:
+        """Read on what was sent ahead too far, only to see its client leave; without end it is none."""
+        self._dropped += len(data)
+        if self._dropped > LONGEST:
+            self.abort()
 
     # -- Time limits: peers that send slowly or nothing may not hold descriptors ----------------------
 
@@ -308,6 +326,26 @@
         self.budget.held += size - self._unread
         self._unread = size
 
+    # -- A client that leaves: what it waits for is not sent on ---------------------------------------
+
+    def look(self) -> None:
+        """See whether the client has left, though nothing that it sent last was read yet."""
+        if self._call is not None and has_ended(self._sock):
+            self._client_gone()
+            self.close()
+
+    def _look_later(self) -> None:
+        """While nothing is read, no event tells of a client that leaves."""
+        if self._looking is None:
+            self._looking = asyncio.get_running_loop().call_later(_LOOK_S, self._look_now)
+
+    def _look_now(self) -> None:
+        self._looking = None
+        if self._transport is not None and not self._transport.is_closing():
+            self.look()
+            if self._call is not None and not self._transport.is_reading():
+                self._look_later()
+
     # -- Reading --------------------------------------------------------------------------------------
 
     def is_idle(self) -> bool:
@@ -367,13 +405,14 @@
         was, self._paused = self._paused, self._more or (self._upload is not None and self._upload.is_full())
         if self._paused:
             self._transport.pause_reading()
+            self._look_later()
         else:
             self._transport.resume_reading()
             if was:
                 self._count_body_anew()
 
     def _next_event(self) -> bool:
-        if self._lingering_until is not None:
+        if self._lingering_until is not None or self._transport is None or self._transport.is_closing():
             return False
         event = self._h11.next_event()
         if isinstance(event, h11.Request):
@@ -405,8 +444,11 @@
             self._uploaded += len(data)
             if self._uploaded > LONGEST:
                 raise BadRequest(413, "the body is too large")
-            self._upload.feed(data)
-            self._read_or_not()
+            if self._uploaded == self._upload.length:
+                self.look()  # its end may have come together with its client's leaving
+            if self._upload is not None:
+                self._upload.feed(data)
+                self._read_or_not()
             return
         self._body += data
         self.budget.held += len(data)
@@ -445,6 +487,7 @@
         if path != _API_PATH and not path.startswith(_API_PATH + b"/"):
             raise BadRequest(404, "no such path")
         call = parse_call(head, body, self._answer, self._begin_answer, self._port)
+        call.look = self.look
         _check_call(call, head, self._frontend.settings)
         return call
 
@@ -455,7 +498,10 @@
         self._await_no_more()
         self.used = True
         if self._upload is not None:
+            self.look()  # likewise
             upload, call = self._upload, self._call
+            if upload is None:
+                return
             self._end_upload()
             upload.end()
             if call is not None:
@@ -494,8 +540,8 @@
         return h11.Response(status_code=status, headers=headers, reason=_REASONS.get(status, b""))
 
     def _came_whole(self) -> bool:
-        """Whether the request was read to its end; its connection may be about to end all the same."""
-        return self._h11.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+        """Whether all was read to the request's end; its connection may be about to end all the same."""
+        return not self._drops and self._h11.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 
     def _answered(self) -> None:
         """An answer is written to its end: on to the next request, or to the end of the connection."""
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -583,6 +583,9 @@
     def handle(self, event: Event) -> None:
         """Play an event, and those that its actions cause, in order."""
         self._events.append(event)
+        self._play_all()
+
+    def _play_all(self) -> None:
         if self._handling:
             return
         self._handling = True
@@ -659,7 +662,10 @@
         live = self._by_call.pop(call, None)
         if live is not None and live.streamed is not None:
             if (attempt := live.out.get(live.streamed)) is not None:
-                self._upstream.cancel(attempt)
+                if self._settings.limits.may_cancel:
+                    self._upstream.cancel(attempt)
+                elif attempt.connection is not None:
+                    attempt.connection.resume()  # it comes to its end, and nobody reads it
         elif live is not None and not live.answered:
             self._log_trail(live, "client gone")
             self._mark_answered(live)
@@ -732,6 +738,8 @@
 
     def _send(self, action: Send) -> None:
         live = self._live.get(action.request)
+        if live is not None and not live.answered:
+            live.call.look()  # what its client has left behind is not sent on
         index = live.sent if live is not None else 0
         if live is None or live.answered:
             if live is not None:
@@ -746,7 +754,9 @@
         sent_at = self._clock.now()
         ended = partial(self._attempt_ended, live, index, action.server, sent_at)
         starts = partial(self._answer_starts, live, index, action.server, sent_at)
-        order = upstream.Order(partial(_head, live.call), live.call.body, live.call.upload, starts)
+        order = upstream.Order(
+            partial(_head, live.call), live.call.body, live.call.upload, starts, live.call.look
+        )
         try:
             exchange = self._upstream.send(action.server, order, until, ended)
         except Exception:
@@ -851,15 +861,24 @@
             self._later(wait_s, self._discovery.follow, True)
 
     def _list(self, kind: ListKind, told: Told) -> None:
-        """Note the addresses first: the balancer may send on hearing of a server."""
-        if kind is not ListKind.CHANGES:
-            self._upstream.retain({line.server.server for line in told.lines})
-        if self._keeper is not None:
-            self._lines.take(told)
-        for line in told.lines:
-            server = line.server
-            self._upstream.update(server.server, line.address, server.started_at, server.state)
-        self.handle(ServersListed(kind, [line.server for line in told.lines], told.version))
+        """Note the addresses first: the balancer may send on hearing of a server.
+
+        What that ends, a dial to a server that leaves, is heard after the list: else it would be sent again
+        by a list that holds no more.
+        """
+        handling, self._handling = self._handling, True
+        self._events.append(ServersListed(kind, [line.server for line in told.lines], told.version))
+        try:
+            if kind is not ListKind.CHANGES:
+                self._upstream.retain({line.server.server for line in told.lines})
+            if self._keeper is not None:
+                self._lines.take(told)
+            for line in told.lines:
+                server = line.server
+                self._upstream.update(server.server, line.address, server.started_at, server.state)
+        finally:
+            self._handling = handling
+        self._play_all()
         self._upstream.forget_gone()
 
 
--- a/topazbank/net/upstream.py
+++ b/topazbank/net/upstream.py
@@ -10,6 +10,7 @@
 import json
 import logging
 import math
+import select
 import socket
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
@@ -68,6 +69,20 @@
     return False
 
 
+def has_ended(sock: socket.socket) -> bool:
+    """Whether the other side has ended a connection, be it behind bytes that nobody has read yet."""
+    try:
+        if not sock.recv(1, socket.MSG_PEEK):
+            return True
+    except (BlockingIOError, InterruptedError):
+        return False
+    except OSError:
+        return True
+    poller = select.poll()
+    poller.register(sock, select.POLLRDHUP)
+    return bool(poller.poll(0))
+
+
 @dataclass(slots=True)
 class Response:
     """A whole answer."""
@@ -448,6 +463,7 @@
     body: bytes = b""
     upload: Upload | None = None  # in place of the body, where that is long
     starts: Starts | None = None
+    look: Callable[[], None] = lambda: None  # whether it is still wanted; if not, this ends its exchange
 
 
 Ended = Callable[[Outcome, Response | None], None]
@@ -463,7 +479,7 @@
         self.until = until  # on the event loop's clock
         self.ended: Ended | None = ended
         self.connection: Connection | None = None
-        self.dial: asyncio.Task[bool] | None = None
+        self.dial: asyncio.Task[None] | None = None
         self.timers: list[asyncio.TimerHandle] = []
 
     def end(self, outcome: Outcome, response: Response | None = None) -> None:
@@ -506,10 +522,17 @@
         self._dial_limit = dial_limit_s
         self._idle_s = idle_s * (1.0 - _IDLE_MARGIN)
         self._most = most
-        self.open_count = 0  # connections, and dials under way
+        self._dials: set[asyncio.Task[None]] = set()  # those under way
+        self._open: set[Connection] = set()  # connections, in use or idle
+        self._closed = False
         self._endpoints: dict[str, Endpoint] = {}
         self._excluded: frozenset[str] = frozenset()
 
+    @property
+    def open_count(self) -> int:
+        """Connections, and dials under way."""
+        return len(self._dials) + len(self._open)
+
     def exclude(self, names: frozenset[str]) -> None:
         """Treat these servers, and no others, as draining ones whatever the list says."""
         self._excluded = names
@@ -527,6 +550,8 @@
             known.address, known.started_at = address, started_at
             known.generation += 1
             self.close_idle(name)
+            for exchange in list(known.dialling):
+                exchange.end(Outcome.UNSENT)  # it would be written to the process or place that was
         known.state = state
         if state is not ServerState.READY:
             self._withdraw(known)
@@ -552,23 +577,25 @@
 
     def send(self, name: str, order: Order, until: float, ended: Ended) -> Exchange:
         """Start an attempt; `ended` hears its outcome exactly once, maybe before this returns."""
-        endpoint = self._endpoints[name]
         loop = asyncio.get_running_loop()
+        endpoint = self._endpoints.get(name)
+        takes = endpoint is not None and endpoint.state is ServerState.READY and name not in self._excluded
+        endpoint = endpoint or Endpoint(name, _NOWHERE, None, ServerState.GONE)
         exchange = Exchange(endpoint, order, until, ended)
-        if until <= loop.time():
-            exchange.end(Outcome.UNSENT)
+        if self._closed or not takes or until <= loop.time():
+            exchange.end(Outcome.UNSENT)  # the list, the end of the run or of its time came first
             return exchange
         self.limit(exchange, until)
         connection = self._take_idle(endpoint)
         if connection is not None:
             self._write(exchange, connection)
         elif self._make_room():
-            self.open_count += 1
             endpoint.dialling.add(exchange)
             limit = loop.time() + self._dial_limit
             exchange.timers.append(loop.call_at(limit, self._dial_time_up, exchange))
-            exchange.dial = loop.create_task(self._dial(exchange))
-            exchange.dial.add_done_callback(self._dialled)
+            exchange.dial = dial = loop.create_task(self._dial(exchange))
+            self._dials.add(dial)
+            dial.add_done_callback(self._dials.discard)
         else:
             log.warning("no connection to spare for %s", name)
             exchange.end(Outcome.DIAL_FAILED)
@@ -642,28 +669,24 @@
         connection.abort()
         return True
 
-    async def _dial(self, exchange: Exchange) -> bool:
-        """Dial and write; say whether there is a connection now."""
+    async def _dial(self, exchange: Exchange) -> None:
+        """Dial and write; the dial counts as open until its connection does, or until it ends."""
         endpoint = exchange.endpoint
         try:
             connection = await connect(endpoint.address, HELD_WHOLE, self._budget)
-        except OSError as fault:
+        except (OSError, ValueError) as fault:  # ValueError: no name that could be looked up
             log.info("no connection to %s: %s", endpoint.name, fault)
             exchange.end(Outcome.DIAL_FAILED)
-            return False
-        connection.on_lost = self._lost
+            return
+        assert exchange.dial is not None
+        self._dials.discard(exchange.dial)
+        self._open.add(connection)
+        connection.on_lost = partial(self._open.discard, connection)
+        exchange.order.look()  # its client may have left during the dial, and nobody noticed yet
         if exchange.ended is None:
             connection.abort()
         else:
             self._write(exchange, connection)
-        return True
-
-    def _dialled(self, dial: asyncio.Task[bool]) -> None:
-        if dial.cancelled() or not dial.result():
-            self._lost()
-
-    def _lost(self) -> None:
-        self.open_count -= 1
 
     def _write(self, exchange: Exchange, connection: Connection) -> None:
         exchange.connection = connection
@@ -700,11 +723,16 @@
         connection.abort()
 
     async def close(self) -> None:
-        """Close what is idle and wait for dials to end."""
-        dials = [each.dial for e in self._endpoints.values() for each in e.dialling if each.dial is not None]
+        """End all connections and dials, for good."""
+        self._closed = True
         for endpoint in list(self._endpoints.values()):
             self._withdraw(endpoint)
+        for connection in list(self._open):
+            connection.abort()
+        for dial in (dials := list(self._dials)):
+            dial.cancel()
         await asyncio.gather(*dials, return_exceptions=True)
+        await asyncio.sleep(0)  # the ends of connections are told in the next turn
 
 
 # -- Load reports -------------------------------------------------------------------------------------
