--- a/topazbank/net/upstream.py
+++ b/topazbank/net/upstream.py
@@ -39,7 +39,7 @@
 # How long the beginning of an answer is kept back whose length is not told: it may be a long one.
 _HELD_LONG_S = 0.1
 _IDLE_MARGIN = 0.1  # an idle connection is closed this part of its time before the server would
-_REST_S = 0.02  # before a connection is used again: a spoilt answer may have a second one behind it
+_REST_S = 0.01  # before a connection is used again: a spoilt answer may have a second one behind it
 _PROBE_DIALS = 4.0  # a probe may take this many dial time limits
 _HOP_BY_HOP = frozenset(
     (b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade")
