Scenes for servers that go and come back, withdrawals and time-outs; end what was begun at the end

The end of a run also cancels connections that were accepted and not begun. Scenes force an attempt at a server that drains, leaves, is missing from the list, is excluded, or goes and comes back under its name, each kind of time-out, and an answer that comes in the turn of its time-out; none of these failed before.

--- a/tests/test_close_range.py
+++ b/tests/test_close_range.py
@@ -25,12 +25,22 @@
     deaf,
     read_answer,
     request,
+    reset,
     until,
     world,
 )
 from virtual import play_on_clock, stall
 
-from topazbank.interface import AttemptEnded, Outcome, Probe, ProbeEnded, ServerState, TimerFired
+from topazbank.interface import (
+    AttemptEnded,
+    ExclusionAsked,
+    Outcome,
+    Probe,
+    ProbeEnded,
+    RequestGone,
+    ServerState,
+    TimerFired,
+)
 from topazbank.net import upstream
 from topazbank.net.discovery import Discovery, Told
 
@@ -456,6 +466,52 @@
     on_clock(scene())
 
 
+@pytest.mark.parametrize("outcome", ["answer", "break", "nothing"])
+def test_a_name_that_goes_and_comes_back_while_an_attempt_is_out(on_clock: Play, outcome: str) -> None:
+    async def scene() -> None:
+        async with world(hung, drained=True) as w:
+            (server,) = w.servers
+            asking = asyncio.create_task(w.ask(kind="pay", body=b"x", budget="1.5"))
+            await until(w.sent)
+            w.discovery.say(42, [server.entry(status="left")])
+            await until(lambda: not w.sidecar._balancer.ready)
+            w.discovery.say(43, [server.entry()])
+            await until(lambda: w.sidecar._balancer.ready)
+            if outcome == "answer":
+                server.writers[0].write(answer(200, b"served"))
+            elif outcome == "break":
+                reset(server.writers[0])
+            assert (await asking)[0] == (200 if outcome == "answer" else 500)
+            assert len(w.sent()) == 1  # it may have run: it is not sent again
+            server.script = served
+            assert (await w.ask())[0] == 200
+            assert len(server.writers) == 2  # what was open to the one that went is not used again
+
+    on_clock(scene())
+
+
+@pytest.mark.parametrize("change", ["leaving", "left", "missing", "excluded"])
+def test_an_attempt_at_a_server_that_is_withdrawn_comes_to_its_own_end(on_clock: Play, change: str) -> None:
+    async def scene() -> None:
+        async with world(hung, drained=True) as w:
+            (server,) = w.servers
+            asking = asyncio.create_task(w.ask(kind="pay", body=b"x"))
+            await until(w.sent)
+            if change == "excluded":
+                w.sidecar.handle(ExclusionAsked("s-0", True))
+            elif change == "missing":
+                w.discovery.say(42, [], snapshot=True)
+            else:
+                w.discovery.say(42, [server.entry(status=change)])
+            await until(lambda: not w.sidecar._balancer.ready)
+            server.writers[0].write(answer(200, b"served"))
+            assert (await asking)[2] == b"served"
+            await until(lambda: w.sidecar._upstream.open_count == 0)  # it is not kept for another
+            assert (await w.ask())[0] == 503
+
+    on_clock(scene())
+
+
 @pytest.mark.parametrize("turns", range(8))
 def test_a_dial_cancelled_at_any_turn_gives_its_place_back(on_clock: Play, turns: int) -> None:
     async def scene() -> None:
@@ -927,3 +983,58 @@
             assert len(theirs.sent()) == 6  # not one of them ran twice
 
     on_clock(scene())
+
+
+# -- Time-outs --------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("at", ["dial", "attempt", "request", "backstop"])
+def test_each_time_out_ends_what_it_is_for_and_frees_all_of_it(
+    on_clock: Play, at: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scene() -> None:
+        limits = {"max_attempts": 3, "may_cancel": at != "attempt", "dial_timeout_us": 200_000}
+        async with world(hung, hung, drained=True, limits=limits) as w:
+            with deaf() as address:
+                if at == "dial":
+                    for name in ("s-0", "s-1"):
+                        w.sidecar._upstream.update(name, address, None, ServerState.READY)
+                loop = asyncio.get_running_loop()
+                began, real = loop.time(), w.sidecar._balancer.handle
+                asking = asyncio.create_task(w.ask(kind="pay", body=b"x", budget="1.0"))
+                if at == "backstop":
+                    await until(w.sent)
+                    monkeypatch.setattr(w.sidecar._balancer, "handle", lambda now, event: [])
+                status, _, _ = await asking
+                took = loop.time() - began
+                if at == "dial":
+                    assert status == 503 and 0.39 < took < 0.5 and not w.sent()  # one after the other
+                else:
+                    assert status == 500 and 0.98 <= took < 1.05 and len(w.sent()) == 1
+                if at == "backstop":
+                    monkeypatch.setattr(w.sidecar._balancer, "handle", real)
+                    for number in list(w.sidecar._balancer._requests):
+                        w.sidecar.handle(RequestGone(number))
+                        w.sidecar.handle(AttemptEnded(number, 0, w.servers[0].name, Outcome.EXPIRED, 1, True))
+                await until(lambda: w.sidecar._upstream.open_count == 0 and not w.sidecar._live)
+
+    on_clock(scene())
+
+
+@pytest.mark.parametrize("crossing", ["before", "behind"])
+def test_an_answer_that_comes_with_its_time_out_has_one_end(on_clock: Play, crossing: str) -> None:
+    async def scene() -> None:
+        async with world(hung, drained=True) as w:
+            asking = asyncio.create_task(w.ask(kind="pay", body=b"x", budget="1.0"))
+            await until(w.sent)
+            if crossing == "before":
+                w.servers[0].writers[0].write(answer(200, b"served"))
+            stall(1.0)  # the answer and all that is due are found together
+            if crossing == "behind":
+                await asyncio.sleep(0)
+                await asyncio.sleep(0)
+                if not w.servers[0].writers[0].is_closing():
+                    w.servers[0].writers[0].write(answer(200, b"served"))
+            assert (await asking)[0] == (200 if crossing == "before" else 500)
+
+    on_clock(scene())
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -797,6 +797,9 @@
             connection.finish()
         while not self.is_empty() and loop.time() < until:
             await asyncio.sleep(_FLUSH_STEP_S)
+        for begun in (starting := list(self._starting)):
+            begun.cancel()
+        await asyncio.gather(*starting, return_exceptions=True)
         for connection in list(self.connections):
             connection.abort()
         await asyncio.sleep(0)  # their ends are told in the next turn
