Count silent calls apart from failed ones, and both anew where discovery moves

Cause, by review and then forced by scenes: the module counted silent and failed calls in one figure, so a watch that fell silent after even one failed call was asked anew at once only once, and after two not at all: up to 2.5 s late, past the 6 s at which its news counts as told. Failures at the old address were also held against the one that SIGHUP names, whose news counts as told 4 s later: its third call could come after 7 s. Lines at fault: _servers_listed, which raised _failed_calls for both, and Sidecar.reload, which told the module nothing.

Silent calls in a row have a count of their own, and a move to another place is told to the module, which begins both anew.

Tests: test_a_watch_that_falls_silent_after_failures_is_asked_anew_as_early, the reload scene with four failures before it, and test_calls_that_fail_after_a_move_wait_no_longer_for_failures_at_the_old_place were seen failing on the module as it was (2, 1 and 1 of them).

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -182,8 +182,9 @@
 class World:
     """A sidecar in this process, with its servers and discovery."""
 
-    def __init__(self, sidecar: Sidecar, servers: list[FakeServer], discovery: FakeDiscovery) -> None:
-        self.sidecar = sidecar
+    def __init__(self, config: Config, servers: list[FakeServer], discovery: FakeDiscovery) -> None:
+        self.config = config
+        self.sidecar = Sidecar(config)
         self.servers = servers
         self.discovery = discovery
         self.stop = asyncio.Event()
@@ -204,6 +205,10 @@
         self.sidecar._balancer.handle = handle  # type: ignore[method-assign]
         return heard
 
+    def move_discovery(self, address: Address) -> None:
+        """What SIGHUP does, with a configuration that names another discovery."""
+        self.sidecar.reload(replace(self.config, discovery=address))
+
     async def ask(self, **changes: Any) -> tuple[int, Head, bytes]:
         return await ask(self.sidecar.frontend.address, request(**changes))
 
@@ -230,7 +235,7 @@
     config = Config(("127.0.0.1", 0), discovery.address, 7, sockets, given, known)
     if orders is not None:
         config = replace(config, orders=orders, mgmt=("127.0.0.1", 0))
-    made = World(Sidecar(config), servers, discovery)
+    made = World(config, servers, discovery)
     running = asyncio.create_task(made.sidecar.run(made.stop))
     await until(lambda: made.sidecar._balancer._begun >= 0)
     try:
--- a/tests/test_close_range.py
+++ b/tests/test_close_range.py
@@ -88,15 +88,46 @@
     on_clock(scene())
 
 
+async def fail(w: World, calls: int) -> None:
+    """Let so many calls in a row fail."""
+    await until(lambda: w.discovery.targets)
+    for _ in range(calls):
+        seen = len(w.discovery.targets)
+        w.discovery.answers.put_nowait(answer(503, b""))
+        await until(lambda seen=seen: len(w.discovery.targets) > seen)  # type: ignore[misc]
+
+
+@pytest.mark.parametrize("mode", ["on_request", "pushed"])
+@pytest.mark.parametrize("failures", [1, 4])
+def test_a_watch_that_falls_silent_after_failures_is_asked_anew_as_early(
+    on_clock: Play, mode: str, failures: int
+) -> None:
+    async def scene() -> None:
+        async with world(served, drained=True, discovery=mode) as w:
+            w.sidecar._discovery._chance = lambda: 0.999
+            await fail(w, failures)
+            fell_silent = w.discovery.called_at[-1]
+            await until(lambda: len(w.discovery.targets) == failures + 3)
+            again, third = w.discovery.called_at[-2:]
+            assert again - fell_silent <= SILENT_S - 2.0 and third - fell_silent <= SILENT_S
+            w.discovery.say(43, [w.servers[0].entry(status="leaving")])
+            await until(lambda: not w.sidecar._balancer.ready)
+
+    on_clock(scene())
+
+
 @pytest.mark.parametrize("silent_calls", [1, 2])
-def test_after_a_reload_silence_leaves_time_to_hear_the_list(on_clock: Play, silent_calls: int) -> None:
+@pytest.mark.parametrize("failures", [0, 4])
+def test_after_a_reload_silence_leaves_time_to_hear_the_list(
+    on_clock: Play, silent_calls: int, failures: int
+) -> None:
     async def scene() -> None:
         async with world(served, served, drained=True) as w:
-            await until(lambda: w.discovery.targets)
+            await fail(w, failures)  # at the old place: they say nothing of the new one
             moved = FakeDiscovery()
             await moved.start()
             began = asyncio.get_running_loop().time()
-            w.sidecar._discovery.move(moved.address)
+            w.move_discovery(moved.address)
             await until(lambda: len(moved.targets) == silent_calls + 1)
             assert set(moved.targets) == {"/registry/instances"}  # nothing is known there yet
             assert moved.called_at[-1] - began <= MOVED_S + GRACE_S - 0.3
@@ -837,6 +868,27 @@
     on_clock(scene())
 
 
+def test_calls_that_fail_after_a_move_wait_no_longer_for_failures_at_the_old_place(on_clock: Play) -> None:
+    async def scene() -> None:
+        async with world(served, served, drained=True) as w:
+            await fail(w, 6)
+            moved = FakeDiscovery()
+            await moved.start()
+            began = asyncio.get_running_loop().time()
+            w.move_discovery(moved.address)
+            for _ in range(2):
+                moved.answers.put_nowait(answer(503, b""))
+            await until(lambda: len(moved.targets) == 3)
+            assert moved.called_at[-1] - began <= 1.5  # 0.5 s and 1 s at most, as at the first failures
+            moved.say(7, [w.servers[1].entry()], snapshot=True)
+            await until(lambda: "s-0" not in w.sidecar._balancer.servers)
+            w.move_discovery(moved.address)  # where it is already: nothing begins anew
+            assert w.sidecar._discovery._moves == 1
+            await moved.end()
+
+    on_clock(scene())
+
+
 def test_a_failure_told_after_the_move_is_not_held_against_the_new_place(on_clock: Play) -> None:
     async def scene() -> None:
         async with world(served, drained=True) as w:
@@ -844,9 +896,9 @@
             moved = FakeDiscovery()
             await moved.start()
             w.sidecar._discovery._tell(None, silent=True)  # it is told in the next turn
-            w.sidecar._discovery.move(moved.address)
+            w.move_discovery(moved.address)
             await until(lambda: moved.targets)
-            assert w.sidecar._balancer._failed_calls == 0
+            assert w.sidecar._balancer._failed_calls == w.sidecar._balancer._silent_calls == 0
             await moved.end()
 
     on_clock(scene())
@@ -876,10 +928,10 @@
             asking = asyncio.create_task(w.ask(kind="pay", body=b"x", budget="1.0"))
             await until(w.sent)
             w.stop.set()
-            w.sidecar._discovery.move(moved.address)
+            w.move_discovery(moved.address)
             await until(lambda: moved.targets)
             assert (await asking)[0] == 500
-        w.sidecar._discovery.move(("127.0.0.1", 9))
+        w.move_discovery(("127.0.0.1", 9))
         assert w.sidecar._discovery._watch is None
         await moved.end()
 
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -189,7 +189,7 @@
         self._back_at = -1  # when this balancer last came back from a stall of its own
         self._absent_us = 0  # how long it has stalled, over all its stalls
         self._begun = -1  # when the first event came
-        self._failed_calls = 0
+        self._failed_calls = self._silent_calls = 0  # in a row
         self._ask_due: int | None = None  # when discovery is asked next; None while the list is followed
         self._pending = 0  # attempts out
         self._stuck = 0  # of these, at ejected servers
@@ -289,16 +289,16 @@
         self._ask_in(wait * (0.25 + 0.75 * self._random.random()))
 
     def _servers_listed(self, event: api.ServersListed) -> None:
-        if event.kind is api.ListKind.SILENT and self._failed_calls < 2:  # its news soon counts as told
-            self._failed_calls += 1
+        if event.kind is api.ListKind.SILENT and self._silent_calls < 2:  # its news soon counts as told
+            self._silent_calls += 1
             self._ask()
             return
         if event.kind in (api.ListKind.FAILED, api.ListKind.SILENT):
             self._ask_again_later()
             return
         if event.kind is not api.ListKind.REMEMBERED:
-            self._failed_calls, self._ask_due = 0, None
-        if event.kind is not api.ListKind.CHANGES:
+            self._failed_calls, self._silent_calls, self._ask_due = 0, 0, None
+        if event.kind not in (api.ListKind.CHANGES, api.ListKind.MOVED):
             listed = {line.server for line in event.servers}
             for name in self.servers.keys() - listed:
                 self.servers[name].state = api.ServerState.GONE
--- a/topazbank/interface.py
+++ b/topazbank/interface.py
@@ -85,6 +85,7 @@
     REMEMBERED = "remembered"  # complete, but as last held before a restart
     FAILED = "failed"  # a call failed or the subscription broke; nothing changes
     SILENT = "silent"  # a watch said nothing within its wait: what it misses counts as told soon
+    MOVED = "moved"  # discovery is asked elsewhere from now on; of the list nothing changes
 
 
 @unique
--- a/topazbank/net/discovery.py
+++ b/topazbank/net/discovery.py
@@ -188,14 +188,18 @@
         self._fetches.add(task)
         task.add_done_callback(lambda done: self._fetches.discard(done))
 
-    def move(self, address: Address) -> None:
-        """Ask elsewhere from now on, the whole list first: what versions mean there is not known."""
+    def move(self, address: Address) -> bool:
+        """Ask elsewhere from now on, the whole list first: what versions mean there is not known.
+
+        Says whether that is another place, and the run is not over.
+        """
         if address == self._address or self._closed:
-            return
+            return False
         self._address, self._version, self._silent = address, None, False
         self._moves += 1
         self.stop()
         self.follow(True)
+        return True
 
     def stop(self) -> None:
         """End the watch; nothing is planned any more."""
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -298,7 +298,8 @@
     def reload(self, config: Config) -> None:
         """Take over what may change while this runs: where discovery is."""
         log.info("reloaded: discovery at %s:%d", *config.discovery)
-        self._discovery.move(config.discovery)
+        if self._discovery.move(config.discovery):
+            self.handle(ServersListed(ListKind.MOVED))
 
     async def _drain(self) -> None:
         loop = asyncio.get_running_loop()
