Take a connection out of those at rest when it ends, whoever ended it

Cause: a connection at rest that its server closed stayed in Endpoint.idle with its timer until that fell due, and _make_room counted it as one that could be given up: for each, one connection more than the bound was opened. The end of a connection is now the one place that takes it out (Upstream._lost), with its timer; the idle ones are kept by connection.

Test: test_connections_at_rest_that_their_server_closed_give_no_room was seen failing without it: 3 connections open of at most 2, and timers left. test_attempts reads the idle ones by their new form; what it asserts is as before.

--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -200,7 +200,7 @@
     async def scene() -> None:
         async with world(served) as w:
             assert (await w.ask(kind="pay", body=b"x"))[0] == 200
-            connection = w.sidecar._upstream._endpoints["s-0"].idle[0][0]
+            (connection,) = w.sidecar._upstream._endpoints["s-0"].idle
             writer = w.servers[0].writers[0]
             if how == "end":
                 raw = writer.get_extra_info("socket")
@@ -224,7 +224,7 @@
         async with world(served, limits=limits) as w:
             assert (await w.ask())[0] == 200
             loop = asyncio.get_running_loop()
-            timer = w.sidecar._upstream._endpoints["s-0"].idle[0][1]
+            (timer,) = w.sidecar._upstream._endpoints["s-0"].idle.values()
             assert timer.when() - loop.time() < 0.95
             await until(lambda: w.servers[0].closed == 1)
 
--- a/tests/test_close_range.py
+++ b/tests/test_close_range.py
@@ -601,6 +601,42 @@
     on_clock(scene())
 
 
+def test_connections_at_rest_that_their_server_closed_give_no_room(on_clock: Play) -> None:
+    order = upstream.Order(lambda _: h11.Request(method="GET", target="/", headers=[("Host", "x")]))
+
+    async def scene() -> None:
+        closing, other = FakeServer("closing", served), FakeServer("other", hung)
+        await closing.start()
+        await other.start()
+        pool = upstream.Upstream(1.0, 60.0, 2)
+        for server in (closing, other):
+            pool.update(server.name, server.address, None, ServerState.READY)
+        outcomes: list[Outcome] = []
+        until_s = asyncio.get_running_loop().time() + 30
+
+        def send(name: str) -> None:
+            pool.send(name, order, until_s, lambda outcome, _: outcomes.append(outcome))
+
+        send("closing")
+        send("closing")
+        await until(lambda: outcomes == [Outcome.DELIVERED] * 2)
+        assert pool.open_count == 2
+        for writer in closing.writers:
+            writer.close()
+        await until(lambda: pool.open_count == 0)
+        assert not pool._endpoints["closing"].idle  # nor is a timer left for what is over
+        for _ in range(3):
+            send("other")
+        assert pool.open_count == 2 and outcomes[2:] == [Outcome.DIAL_FAILED]
+        await until(lambda: len(other.requests) == 2)
+        await pool.close()
+        assert pool.open_count == 0 and len(outcomes) == 5
+        await closing.end()
+        await other.end()
+
+    on_clock(scene())
+
+
 # -- Answers that come at the wrong time ------------------------------------------------------------------
 
 
--- a/topazbank/net/upstream.py
+++ b/topazbank/net/upstream.py
@@ -457,7 +457,7 @@
     started_at: int | None
     state: ServerState
     generation: int = 0  # of its process: older connections are not used again
-    idle: list[tuple[Connection, asyncio.TimerHandle]] = field(default_factory=list)
+    idle: dict[Connection, asyncio.TimerHandle] = field(default_factory=dict)  # the longest at rest first
     dialling: set[Exchange] = field(default_factory=set)
 
 
@@ -637,7 +637,7 @@
     def close_idle(self, name: str) -> None:
         endpoint = self._endpoints.get(name)
         while endpoint is not None and endpoint.idle:
-            connection, timer = endpoint.idle.pop()
+            connection, timer = endpoint.idle.popitem()
             timer.cancel()
             connection.abort()
 
@@ -657,12 +657,10 @@
     def _take_idle(endpoint: Endpoint) -> Connection | None:
         """The connection used last of those that have rested: a second answer may come late, to anyone."""
         rested = asyncio.get_running_loop().time() - _REST_S
-        for index in reversed(range(len(endpoint.idle))):
-            connection, timer = endpoint.idle[index]
+        for connection in reversed(list(endpoint.idle)):
             if connection.rests_from > rested:
                 continue
-            del endpoint.idle[index]
-            timer.cancel()
+            endpoint.idle.pop(connection).cancel()
             if connection.is_idle():
                 return connection
             connection.abort()
@@ -676,8 +674,8 @@
         if not idle:
             return False
         fullest = max(idle, key=lambda each: len(each.idle))
-        connection, timer = fullest.idle.pop(0)
-        timer.cancel()
+        connection = next(iter(fullest.idle))
+        fullest.idle.pop(connection).cancel()
         connection.abort()
         return True
 
@@ -693,13 +691,19 @@
         assert exchange.dial is not None
         self._dials.discard(exchange.dial)
         self._open.add(connection)
-        connection.on_lost = partial(self._open.discard, connection)
+        connection.on_lost = partial(self._lost, endpoint, connection)
         exchange.order.look()  # its client may have left during the dial, and nobody noticed yet
         if exchange.ended is None:
             connection.abort()
         else:
             self._write(exchange, connection)
 
+    def _lost(self, endpoint: Endpoint, connection: Connection) -> None:
+        """A connection is over, whoever ended it: one at rest that its server closed gives no room."""
+        self._open.discard(connection)
+        if (timer := endpoint.idle.pop(connection, None)) is not None:
+            timer.cancel()
+
     def _write(self, exchange: Exchange, connection: Connection) -> None:
         exchange.connection = connection
         exchange.endpoint.dialling.discard(exchange)
@@ -727,13 +731,8 @@
             connection.abort()
             return
         connection.rests_from = asyncio.get_running_loop().time()
-        timer = asyncio.get_running_loop().call_later(self._idle_s, self._idle_over, endpoint, connection)
-        endpoint.idle.append((connection, timer))
-
-    @staticmethod
-    def _idle_over(endpoint: Endpoint, connection: Connection) -> None:
-        endpoint.idle = [each for each in endpoint.idle if each[0] is not connection]
-        connection.abort()
+        # Its end takes it out of those at rest.
+        endpoint.idle[connection] = asyncio.get_running_loop().call_later(self._idle_s, connection.abort)
 
     async def close(self) -> None:
         """End all connections and dials, for good."""
