Plan what is done again and again before it is done, so that one defect ends no chain

Cause, by review: following the orders on disk, the peers' bans and the state kept each planned their next turn as their last step, so that anything unforeseen in one turn (the orders' reading raised ZeroDivisionError in the scene) ended them for good and in silence: a ban of the other process of an upgrade was never heard. One shared Sidecar._every plans first.

Test: test_what_is_done_again_and_again_outlives_a_defect_in_one_turn was seen failing without it (the ban not heard in 20 s of its clock).

--- a/tests/test_close_range.py
+++ b/tests/test_close_range.py
@@ -10,7 +10,8 @@
 import contextlib
 import socket
 import struct
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterator
+from pathlib import Path
 from typing import Any
 
 import h11
@@ -43,6 +44,7 @@
 )
 from topazbank.net import upstream
 from topazbank.net.discovery import Discovery, Told
+from topazbank.net.orders import Orders
 
 GRACE_S = 0.55  # of a drain, with the slack of the rules
 SILENT_S = 6.0  # what a watch that fell silent misses counts as told so long after
@@ -56,6 +58,18 @@
     return lambda scene: play_on_clock(scene, monkeypatch)
 
 
+@contextlib.contextmanager
+def told_to_the_loop() -> Iterator[list[BaseException | None]]:
+    """What callbacks of the event loop raise meanwhile, which would else count as a fault of the scene."""
+    loop, faults = asyncio.get_running_loop(), list[BaseException | None]()
+    before = loop.get_exception_handler()
+    loop.set_exception_handler(lambda _, context: faults.append(context.get("exception")))
+    try:
+        yield faults
+    finally:
+        loop.set_exception_handler(before)
+
+
 def served(*_: object) -> bytes:
     return answer(200, b"served")
 
@@ -792,6 +806,29 @@
     on_clock(scene())
 
 
+def test_what_is_done_again_and_again_outlives_a_defect_in_one_turn(
+    on_clock: Play, monkeypatch: pytest.MonkeyPatch, tmp_path: Path
+) -> None:
+    async def scene() -> None:
+        async with world(served, drained=True, orders=tmp_path) as w:
+            real, failed = w.sidecar._orders.read, list[bool]()
+
+            def fails() -> Any:
+                monkeypatch.setattr(w.sidecar._orders, "read", real)
+                failed.append(True)
+                raise ZeroDivisionError
+
+            monkeypatch.setattr(w.sidecar._orders, "read", fails)
+            with told_to_the_loop() as faults:
+                await until(lambda: failed)
+                await asyncio.sleep(0)
+            assert [type(each) for each in faults] == [ZeroDivisionError]
+            Orders(tmp_path).exclude("s-0")  # as the other process of an upgrade may
+            await until(lambda: not w.sidecar._balancer.ready)
+
+    on_clock(scene())
+
+
 @pytest.mark.parametrize("may_cancel", [True, False])
 def test_a_request_given_up_leaves_module_and_sockets_agreeing(on_clock: Play, may_cancel: bool) -> None:
     async def scene() -> None:
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -255,7 +255,8 @@
 
     async def _start(self, stop: asyncio.Event) -> None:
         if self.door is not None:
-            self._follow_orders()  # before the first request: a ban outlasts the process that took it
+            # Before the first request: a ban outlasts the process that took it.
+            self._every(_ORDERS_EVERY_S, self._read_orders)
             self.door.start()
         self._recall()
         if self._link is not None:
@@ -264,7 +265,7 @@
             self._list(ListKind.REMEMBERED, self._known)
         await self._learn(stop)
         if self._keeper is not None:
-            self._keep_state()
+            self._every(self._keep_every_s, self._keep_state)
         if self._settings.discovery is DiscoveryMode.PUSHED:
             self._discovery.follow(True)
         if self._takes_over:
@@ -457,7 +458,7 @@
 
             resume_plane(self._link.plane, self._kept)
         self._link.ban(self._ordered)
-        self._follow_peers()
+        self._every(_ORDERS_EVERY_S, self._hear_exclusions)
 
     # -- What outlasts a crash ------------------------------------------------------------------------
 
@@ -499,11 +500,6 @@
         plane = self._link.plane if self._link is not None else None
         listed = (self._discovery.place(), self._lines.text()) if self._lines.version else None
         self._keeper.keep(self._balancer, self._clock.now(), plane, listed)
-        self._later(self._keep_every_s, self._keep_state)
-
-    def _follow_peers(self) -> None:
-        self._hear_exclusions()
-        self._later(_ORDERS_EVERY_S, self._follow_peers)
 
     def _hear_exclusions(self) -> None:
         """The module hears this sidecar's own orders and the bans that the plane holds for the tier."""
@@ -527,12 +523,8 @@
             store()
         self._read_orders()
 
-    def _follow_orders(self) -> None:
-        """Follow what is stored; of two processes in an upgrade either may have been told."""
-        self._read_orders()
-        self._later(_ORDERS_EVERY_S, self._follow_orders)
-
     def _read_orders(self) -> None:
+        """Follow what is stored; of two processes in an upgrade either may have been told."""
         try:
             excluded, evacuated = self._orders.read()
         except OSError as fault:
@@ -863,6 +855,11 @@
         run = partial(self._timer_due, number, call, *about)
         self._timers[number] = asyncio.get_running_loop().call_later(wait_s, run)
 
+    def _every(self, wait_s: float, call: Callable[[], None]) -> None:
+        """Call now and after each such wait; planned first, so that a defect in one call ends no other."""
+        self._later(wait_s, self._every, wait_s, call)
+        call()
+
     def _timer_due(self, number: int, call: Callable[..., None], *about: object) -> None:
         del self._timers[number]
         call(*about)
