Cut no long answer off because a copy of its request ends as it begins

Ruled out by lines at each end of a client's connection: clients that leave, looks at unread clients, time limits, drains.

Cause, older than this work: Sidecar._answer_starts ended the request's other attempts before it told the module that an answer had begun. A copy whose dial was still under way ends so as unsent, of an answered request; the module closed the request on hearing that and called off what was out, the answer under way included. The start is now told first, by the guard with which a list is told before what it ends (Sidecar._told_first).

Test: test_a_long_answer_is_not_cut_off_by_the_copy_that_its_beginning_ends was seen failing without it where the first attempt dials and attempts may be cancelled; its three other cases hold either way.

--- a/tests/test_close_range.py
+++ b/tests/test_close_range.py
@@ -683,6 +683,55 @@
     on_clock(scene())
 
 
+@pytest.mark.parametrize("may_cancel", [True, False])
+@pytest.mark.parametrize("first", ["dialling", "written"])
+def test_a_long_answer_is_not_cut_off_by_the_copy_that_its_beginning_ends(
+    on_clock: Play, first: str, may_cancel: bool
+) -> None:
+    body = bytes(range(251)) * 1000  # too long to be held whole
+
+    async def scene() -> None:
+        limits: dict[str, Any] = {"max_attempts": 3, "second_copies": True, "may_cancel": may_cancel}
+        limits["dial_timeout_us"] = 600_000_000
+        async with world(hung, hung, drained=True, limits=limits) as w:
+            with deaf() as address:
+                if first == "dialling":  # whichever is drawn first, its connection does not come up
+                    places = {name: each.address for name, each in w.sidecar._upstream._endpoints.items()}
+                    for each in w.sidecar._upstream._endpoints.values():
+                        each.address = address
+                client = Client(w)
+                client.send(request(budget="5.0"))
+                await until(lambda: w.sidecar._live)
+                (live,), balancer = w.sidecar._live.values(), w.sidecar._balancer
+                (asked,) = balancer._requests.values()
+                if first == "dialling":
+                    for name, each in w.sidecar._upstream._endpoints.items():
+                        each.address = places[name]
+                else:
+                    await until(w.sent)
+                seen, balancer.actions = len(w.sent()), []
+                balancer._place(asked)  # a second copy, as once the first is overdue
+                w.sidecar._carry_out(balancer.actions)
+                await until(lambda: len(w.sent()) > seen)
+                name = asked.attempts[1].server.name
+                (there,) = [each for each in w.servers if each.name == name]
+                there.writers[-1].write(answer(200, body)[: -len(body) // 2])
+                await until(lambda: live.streamed == 1)
+                await asyncio.sleep(0.1)
+                assert live.out.keys() == ({1} if may_cancel or first == "dialling" else {0, 1})
+                assert there.closed == 0
+                there.writers[-1].write(body[-len(body) // 2 :])
+                reader, writer = await asyncio.open_connection(sock=client.sock)
+                assert (await read_answer(reader))[2] == body
+                for late in (*w.servers[0].writers, *w.servers[1].writers):
+                    if late is not there.writers[-1]:
+                        late.write(answer(200, b"too late"))
+                await until(is_over(w))
+                writer.close()
+
+    on_clock(scene())
+
+
 @pytest.mark.parametrize("size", [1, 100_000])
 def test_an_answer_before_the_request_is_whole_is_nobodys(on_clock: Play, size: int) -> None:
     async def scene() -> None:
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -579,6 +579,17 @@
         self._events.append(event)
         self._play_all()
 
+    @contextlib.contextmanager
+    def _told_first(self, event: Event) -> Iterator[None]:
+        """Have the module hear an event before those of what ends within the block that goes with it."""
+        handling, self._handling = self._handling, True
+        self._events.append(event)
+        try:
+            yield
+        finally:
+            self._handling = handling
+        self._play_all()
+
     def _play_all(self) -> None:
         if self._handling:
             return
@@ -794,8 +805,9 @@
         self._upstream.unlimit(attempt)
         live.streamed, live.first_byte_us = index, self._clock.now() - max(sent_at, live.taken_at)
         self._answers[200] += 1
-        self._mark_answered(live)
-        self.handle(AnswerStarted(live.ident, index, server, live.first_byte_us))
+        # A copy elsewhere that this ends would else close the request, and so call off this very attempt.
+        with self._told_first(AnswerStarted(live.ident, index, server, live.first_byte_us)):
+            self._mark_answered(live)
         return sink
 
     def _attempt_ended(
@@ -880,9 +892,7 @@
         What that ends, a dial to a server that leaves, is heard after the list: else it would be sent again
         by a list that holds no more.
         """
-        handling, self._handling = self._handling, True
-        self._events.append(ServersListed(kind, [line.server for line in told.lines], told.version))
-        try:
+        with self._told_first(ServersListed(kind, [line.server for line in told.lines], told.version)):
             if kind is not ListKind.CHANGES:
                 self._upstream.retain({line.server.server for line in told.lines})
             if self._keeper is not None:
@@ -890,9 +900,6 @@
             for line in told.lines:
                 server = line.server
                 self._upstream.update(server.server, line.address, server.started_at, server.state)
-        finally:
-            self._handling = handling
-        self._play_all()
         self._upstream.forget_gone()
 
 
