Count what a slow client has not read anew when more of its answer comes

Cause, by review: what is unread was counted when the client's connection filled up and not again, while what had been read of its answer by then still came behind it, 200 small pieces a step. Ten seconds later more was unread than at first, which counted as a client that reads nothing, and a client that reads on slowly was cut off. The budget of held bytes was counted too low by the same amount.

--- a/tests/test_close_range.py
+++ b/tests/test_close_range.py
@@ -45,6 +45,7 @@
 from topazbank.net import upstream
 from topazbank.net.discovery import Discovery, Told
 from topazbank.net.orders import Orders
+from topazbank.net.streams import STALLED_S
 
 GRACE_S = 0.55  # of a drain, with the slack of the rules
 SILENT_S = 6.0  # what a watch that fell silent misses counts as told so long after
@@ -177,6 +178,13 @@
         self.ended = True
 
 
+async def read_chunks(reader: asyncio.StreamReader) -> bytes:
+    body = b""
+    while size := int(await reader.readline(), 16):
+        body += (await reader.readexactly(size + 2))[:-2]
+    return body
+
+
 class Client:
     """A client whose every system call happens at once, between two turns of the event loop."""
 
@@ -683,6 +691,39 @@
     on_clock(scene())
 
 
+def test_a_client_that_reads_slowly_is_not_cut_off_for_what_came_after_it_fell_behind(on_clock: Play) -> None:
+    body = bytes(range(250)) * 400
+
+    async def scene() -> None:
+        async with world(hung, drained=True) as w:
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+            sock.connect(w.sidecar.frontend.address)
+            sock.setblocking(False)
+            sock.send(request())
+            await until(w.sent)
+            (connection,) = w.sidecar.frontend.connections
+            connection._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+            pieces = b"".join(b"2\r\n%b\r\n" % body[at : at + 2] for at in range(0, len(body), 2))
+            head = b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n"
+            w.servers[0].writers[0].write(head + pieces + b"0\r\n\r\n")
+            await until(lambda: connection._stuck)
+            got, began = b"", asyncio.get_running_loop().time()
+            while not got.endswith(b"\r\n0\r\n\r\n"):
+                with contextlib.suppress(BlockingIOError):
+                    got += (data := sock.recv(2_500))
+                    assert data, "cut off"
+                await asyncio.sleep(2.0)
+            assert asyncio.get_running_loop().time() - began > 3 * STALLED_S
+            reader = asyncio.StreamReader()
+            reader.feed_data(got)
+            await reader.readuntil(b"\r\n\r\n")
+            assert await read_chunks(reader) == body
+            sock.close()
+
+    on_clock(scene())
+
+
 @pytest.mark.parametrize("may_cancel", [True, False])
 @pytest.mark.parametrize("first", ["dialling", "written"])
 def test_a_long_answer_is_not_cut_off_by_the_copy_that_its_beginning_ends(
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -574,6 +574,8 @@
     def pass_on(self, data: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(self._h11.send(h11.Data(data=data)) or b"")
+            if self._stuck:  # what its server had sent by then still comes: that is no standstill
+                self._count_unread(self._transport.get_write_buffer_size())
 
     def end_answer(self) -> None:
         self._call = self._source = None
