End a connection after its last answer without a reset where more has come by then

Cause, by review of "a close over unread bytes": after an answer that ends its connection (a drain, a client's Connection: close) ClientConnection._answered closed at once. Bytes of the client that stood unread in that moment made the kernel reset the connection and drop what it still held of the answer. It now goes through `finish`, as the end of the run does: where something is unread our side is ended and the rest read and dropped; at rest it closes at once as before.

Test: test_a_last_answer_arrives_whole_though_more_has_come_by_then was seen failing without it (a reset, the answer cut).

--- a/tests/test_close_range.py
+++ b/tests/test_close_range.py
@@ -691,6 +691,36 @@
     on_clock(scene())
 
 
+def test_a_last_answer_arrives_whole_though_more_has_come_by_then(on_clock: Play) -> None:
+    body = bytes(range(250)) * 240
+
+    async def scene() -> None:
+        async with world(hung, drained=True) as w:
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)  # most of it stays with our kernel
+            sock.connect(w.sidecar.frontend.address)
+            sock.send(request(Connection="close"))
+            await until(w.sent)
+            (connection,) = w.sidecar.frontend.connections
+            assert connection._transport is not None
+            connection._transport.pause_reading()  # what it sends now is unread when its answer is written
+            sock.send(request())
+            w.servers[0].writers[0].write(answer(200, body))
+            await until(is_over(w))
+            sock.setblocking(False)
+            got = b""
+            while not got.endswith(body):
+                with contextlib.suppress(BlockingIOError):
+                    got += (data := sock.recv(4_096))
+                    assert data, "cut off"
+                await asyncio.sleep(0.01)
+            await until(lambda: not w.sidecar.frontend.connections)
+            assert len(w.sent()) == 1
+            sock.close()
+
+    on_clock(scene())
+
+
 def test_a_client_that_reads_slowly_is_not_cut_off_for_what_came_after_it_fell_behind(on_clock: Play) -> None:
     body = bytes(range(250)) * 400
 
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -556,8 +556,10 @@
         self._end_upload()
         if not self._came_whole():
             self._linger()
+        elif self._h11.our_state is not h11.DONE and not self._stuck:
+            self.finish()
         elif self._h11.our_state is not h11.DONE:
-            self.close()
+            self.close()  # once it is written
         elif not self._stuck:
             asyncio.get_running_loop().call_soon(self._next_request)
 
