Give up a long answer without end, whose client left, in bounded time where nothing may be cancelled

Cause, by review: where the settings forbid cancelling, a long answer whose client left is read to its end. Attempts have time-outs under any settings: this one now has the longest deadline from its client's leaving (Sidecar._gone).

Test: test_a_long_answer_whose_client_left_ends_by_itself_or_is_given_up_in_bounded_time was seen failing without it for the answer without end; one that ends by itself within that time is not cut and its connection is used again, with and without.

--- a/tests/test_close_range.py
+++ b/tests/test_close_range.py
@@ -691,6 +691,43 @@
     on_clock(scene())
 
 
+@pytest.mark.parametrize("ends", [True, False])
+def test_a_long_answer_whose_client_left_ends_by_itself_or_is_given_up_in_bounded_time(
+    on_clock: Play, ends: bool
+) -> None:
+    head = b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n"
+    piece = b"1000\r\n" + bytes(0x1000) + b"\r\n"
+
+    async def scene() -> None:
+        limits = {"max_attempts": 3, "may_cancel": False}
+        classes = [SAFE | {"deadline_us": 2 * S}, UNSAFE | {"deadline_us": 4 * S}]
+        async with world(hung, drained=True, limits=limits, classes=classes) as w:
+            client = Client(w)
+            client.send(request(budget="1.0"))
+            await until(w.sent)
+            (there,), (live,) = w.servers[0].writers, w.sidecar._live.values()
+            there.write(head + piece * 20)
+            await until(lambda: live.streamed is not None)
+            client.leave("reset")
+            await until(lambda: not w.sidecar.frontend.connections)
+            began = asyncio.get_running_loop().time()
+            for _ in range(15):  # well past the time that its client gave it
+                await asyncio.sleep(0.2)
+                there.write(piece)
+                assert w.servers[0].closed == 0  # nothing may be cancelled
+            if ends:
+                there.write(b"0\r\n\r\n")
+            while not is_over(w)() and asyncio.get_running_loop().time() < began + 10.0:
+                await asyncio.sleep(0.2)
+                if not (ends or there.is_closing()):
+                    there.write(piece)
+            assert is_over(w)() and asyncio.get_running_loop().time() - began < (3.5 if ends else 4.5)
+            assert w.sidecar._upstream.open_count == int(ends)  # whole, it is used again
+            client.sock.close()
+
+    on_clock(scene())
+
+
 def test_a_last_answer_arrives_whole_though_more_has_come_by_then(on_clock: Play) -> None:
     body = bytes(range(250)) * 240
 
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -180,6 +180,7 @@
     def __init__(self, config: Config) -> None:
         self._settings = settings = config.settings
         self._aims = {each.name: each.aim_us for each in settings.classes}
+        self._longest_s = max(each.deadline_us for each in settings.classes) / 1e6
         self._clock = Clock()
         self._balancer = Balancer(settings, config.seed)
         self._live: dict[int, Live] = {}
@@ -313,8 +314,7 @@
             self.frontend.drain()
             await asyncio.sleep(_ACCEPT_S)
             self.frontend.stop()
-        longest = max(each.deadline_us for each in self._settings.classes) / 1e6
-        last = began + min(longest, _DEADLINE_MOST_S) + _LAST_S
+        last = began + min(self._longest_s, _DEADLINE_MOST_S) + _LAST_S
         while not self.frontend.is_empty() and loop.time() < last:
             await asyncio.sleep(_DRAIN_STEP_S)
             if loop.time() >= began + _LINGER_S:
@@ -685,7 +685,8 @@
                 if self._settings.limits.may_cancel:
                     self._upstream.cancel(attempt)
                 elif attempt.connection is not None:
-                    attempt.connection.resume()  # it comes to its end, and nobody reads it
+                    attempt.connection.resume()  # it comes to its end, and nobody reads it; some have none
+                    self._upstream.limit(attempt, asyncio.get_running_loop().time() + self._longest_s)
         elif live is not None and not live.answered:
             self._log_trail(live, "client gone")
             self._mark_answered(live)
