Let no client take an answer that was cut off for a whole one, at the exit or when it reads nothing

Cause, by review: an HTTP/1.0 client is told the end of a long answer of unknown length by the connection's end alone. A server that broke one off ended in a reset there; the exit (Frontend.close, through `finish`) and the time limit for a client that reads nothing (_look_unread) ended it as if it were whole, and served something that no server made. Both go through one `abort` now, which resets such a connection, and `finish` breaks an answer under way off.

Tests, both seen failing without it: test_a_long_answer_that_the_exit_cuts_off_is_visibly_broken (HTTP/1.0; HTTP/1.1 held before) and test_a_client_given_up_amid_an_answer_that_only_an_end_would_finish_sees_a_reset.

--- a/tests/test_close_range.py
+++ b/tests/test_close_range.py
@@ -1190,6 +1190,57 @@
     on_clock(scene())
 
 
+@pytest.mark.parametrize("version", [b"HTTP/1.0", b"HTTP/1.1"])
+def test_a_long_answer_that_the_exit_cuts_off_is_visibly_broken(on_clock: Play, version: bytes) -> None:
+    async def scene() -> None:
+        async with world(hung, classes=[SAFE | {"deadline_us": 1 * S}]) as w:
+            client = Client(w)
+            client.send(request(budget="1.0").replace(b"HTTP/1.1", version))
+            await until(w.sent)
+            (live,), (there,) = w.sidecar._live.values(), w.servers[0].writers
+            there.write(b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n")
+            await until(lambda: live.streamed is not None)
+            await asyncio.sleep(0.1)
+            w.stop.set()
+            await until(lambda: w.sidecar._over)
+            assert_nothing_owed(w.sidecar)
+            got = client.sock.recv(10_000)
+            assert b"part" in got and not got.endswith(b"0\r\n\r\n")
+            if version == b"HTTP/1.0":  # only the connection's end tells it that an answer is whole
+                with pytest.raises(ConnectionResetError):
+                    client.sock.recv(1)
+            else:
+                assert client.sock.recv(1) == b""
+            client.sock.close()
+
+    on_clock(scene())
+
+
+def test_a_client_given_up_amid_an_answer_that_only_an_end_would_finish_sees_a_reset(on_clock: Play) -> None:
+    piece = b"10000\r\n" + bytes(0x10000) + b"\r\n"
+
+    async def scene() -> None:
+        async with world(hung, drained=True) as w:
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+            sock.connect(w.sidecar.frontend.address)
+            sock.send(request().replace(b"HTTP/1.1", b"HTTP/1.0"))
+            await until(w.sent)
+            (connection,), (there,) = w.sidecar.frontend.connections, w.servers[0].writers
+            connection._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+            there.write(b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n" + piece * 20)
+            await until(lambda: connection._stuck)
+            await asyncio.sleep(STALLED_S)  # it reads nothing
+            await until(lambda: not w.sidecar.frontend.connections)
+            sock.setblocking(True)
+            with pytest.raises(ConnectionResetError):
+                while sock.recv(65_536):
+                    pass
+            sock.close()
+
+    on_clock(scene())
+
+
 def test_connections_at_rest_do_not_hold_the_exit(on_clock: Play) -> None:
     async def scene() -> None:
         async with world(served) as w:
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -317,7 +317,7 @@
             return
         left = self._transport.get_write_buffer_size()
         if left >= self._unread:
-            self._transport.abort()
+            self.abort()
             return
         self._count_unread(left)
         self._due = asyncio.get_running_loop().call_later(STALLED_S, self._look_unread)
@@ -358,13 +358,25 @@
             self._transport.close()
 
     def abort(self) -> None:
-        """Close at once; what is not written yet never will be."""
-        if self._transport is not None:
-            self._transport.abort()
+        """Close at once; what is not written yet never will be.
+
+        Where only the connection's end would tell of an answer's, it is a reset.
+        """
+        if self._transport is None:
+            return
+        if self._source is not None and self._h11.their_http_version == b"1.0":
+            with contextlib.suppress(OSError):
+                self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self._transport.abort()
 
     def finish(self) -> None:
-        """Close once what is written has arrived: closing on unread bytes would reset it away."""
-        if self._lingering_until is None and not self.is_idle():
+        """Close once what is written has arrived: closing on unread bytes would reset it away.
+
+        A long answer under way can't become whole any more, and its client must be able to tell.
+        """
+        if self._source is not None:
+            self.break_answer()
+        elif self._lingering_until is None and not self.is_idle():
             self._linger()
         elif self._lingering_until is None:
             self.close()
@@ -586,16 +598,13 @@
             self._answered()
 
     def break_answer(self) -> None:
-        """End the connection short of the answer's end; where only that end would tell of it, by a reset."""
+        """End the connection short of the answer's end, so that its client can tell."""
+        if self._transport is not None and not self._transport.is_closing():
+            if self._h11.their_http_version == b"1.0":
+                self.abort()
+            else:
+                self.close()
         self._call = self._source = None
-        if self._transport is None or self._transport.is_closing():
-            return
-        if self._h11.their_http_version == b"1.0":
-            with contextlib.suppress(OSError):
-                self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-            self._transport.abort()
-        else:
-            self.close()
 
     def _linger(self) -> None:
         """End our side and drop what still comes: closing on unread bytes would reset the answer away."""
