Take connections out of those at rest in one place; two plainer forms at the client's side

ClientConnection._answered asked for the end of its connection in two branches, and a comment had been wrapped into brackets. Behaviour is as before.

--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -199,9 +199,8 @@
         self._body_from = 0.0  # since when its body is counted
         self._body_came = 0  # bytes of it since then
         self._came_at = 0.0  # when the last of them came
-        self._drops = (
-            False  # it sent too far ahead: it is read no more but for its end, which its answer brings
-        )
+        # It sent too far ahead: it is read no more but for its end, which its answer brings.
+        self._drops = False
         self._dropped = 0  # bytes so far
         self._uploaded = 0  # bytes of a long body, from its beginning
         self.used = False  # whether it has carried a request
@@ -568,10 +567,8 @@
         self._end_upload()
         if not self._came_whole():
             self._linger()
-        elif self._h11.our_state is not h11.DONE and not self._stuck:
-            self.finish()
         elif self._h11.our_state is not h11.DONE:
-            self.close()  # once it is written
+            (self.close if self._stuck else self.finish)()  # what is stuck is written first
         elif not self._stuck:
             asyncio.get_running_loop().call_soon(self._next_request)
 
--- a/topazbank/net/upstream.py
+++ b/topazbank/net/upstream.py
@@ -460,6 +460,11 @@
     idle: dict[Connection, asyncio.TimerHandle] = field(default_factory=dict)  # the longest at rest first
     dialling: set[Exchange] = field(default_factory=set)
 
+    def unrest(self, connection: Connection) -> None:
+        """Take a connection out of those at rest, with the timer that would close it; once is enough."""
+        if (timer := self.idle.pop(connection, None)) is not None:
+            timer.cancel()
+
 
 @dataclass(slots=True)
 class Order:
@@ -637,8 +642,8 @@
     def close_idle(self, name: str) -> None:
         endpoint = self._endpoints.get(name)
         while endpoint is not None and endpoint.idle:
-            connection, timer = endpoint.idle.popitem()
-            timer.cancel()
+            connection = next(reversed(endpoint.idle))
+            endpoint.unrest(connection)
             connection.abort()
 
     @staticmethod
@@ -660,7 +665,7 @@
         for connection in reversed(list(endpoint.idle)):
             if connection.rests_from > rested:
                 continue
-            endpoint.idle.pop(connection).cancel()
+            endpoint.unrest(connection)
             if connection.is_idle():
                 return connection
             connection.abort()
@@ -675,7 +680,7 @@
             return False
         fullest = max(idle, key=lambda each: len(each.idle))
         connection = next(iter(fullest.idle))
-        fullest.idle.pop(connection).cancel()
+        fullest.unrest(connection)
         connection.abort()
         return True
 
@@ -701,8 +706,7 @@
     def _lost(self, endpoint: Endpoint, connection: Connection) -> None:
         """A connection is over, whoever ended it: one at rest that its server closed gives no room."""
         self._open.discard(connection)
-        if (timer := endpoint.idle.pop(connection, None)) is not None:
-            timer.cancel()
+        endpoint.unrest(connection)
 
     def _write(self, exchange: Exchange, connection: Connection) -> None:
         exchange.connection = connection
