Stop looking for room among connections at the first that may be closed

Cause: Frontend._make_room asked every connection whether it is idle, a recv each, for every connection accepted at the limit (480 of them at most). Change: connections are in order of their rest, so the first that fits is taken; a second pass covers those not used yet.

--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -738,13 +738,20 @@
                 raise
 
     def _make_room(self) -> bool:
-        """Close a connection at rest, one that has carried a request first: a new one is opened for one."""
-        at_rest = [each for each in self.connections if each.is_idle()]
-        chosen = next((each for each in at_rest if each.used), at_rest[0] if at_rest else None)
-        if chosen is not None:
-            chosen.close()
-            del self.connections[chosen]
-        return chosen is not None
+        """Close the connection longest at rest, preferring one that has carried a request.
+
+        A connection that carried none was opened for a request that may still be on its way.
+        """
+        chosen = self._longest_idle(used=True) or self._longest_idle(used=False)
+        if chosen is None:
+            return False
+        chosen.close()
+        del self.connections[chosen]
+        return True
+
+    def _longest_idle(self, used: bool) -> ClientConnection | None:
+        """Find the first closable connection; it stops there, as each look at one is a system call."""
+        return next((each for each in self.connections if each.used is used and each.is_idle()), None)
 
     def rested(self, connection: ClientConnection) -> None:
         """A connection has begun to rest, or to wait for its next request."""
