Take off a request's time what it waited in the kernel before it was read

Cause: ClientConnection counted X-Budget from when it read the request. One that waited in the backlog while accepting was paused, or in a socket buffer while the process was busy, has less left. Change: net/queueing.py bounds that wait by the event loop's own polls, by how long the backlog was not emptied, and by tcpi_last_data_recv where the system tells it.

--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -17,6 +17,7 @@
 import pytest
 
 from topazbank.net import sidecar
+from topazbank.net.queueing import PollTimes
 
 _REAL_WAIT_S = 0.001  # before the clock moves on: what is under way in the kernel arrives by then
 _MOST_S = 600.0  # of the clock, for one scene
@@ -27,7 +28,17 @@
 
     now = 1000.0
 
+    def __init__(self) -> None:
+        super().__init__()
+        self.times = PollTimes(self.now)
+
     def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
+        entered = self.now
+        events = self._select(timeout)
+        self.times.polled(entered, self.now, timeout)
+        return events
+
+    def _select(self, timeout: float | None) -> list[tuple[selectors.SelectorKey, int]]:
         ready = super().select(0)
         if ready or (timeout is not None and timeout <= 0):
             return ready
@@ -43,6 +54,7 @@
 
     def __init__(self) -> None:
         self._own = _Selector()
+        self.poll_times = self._own.times
         super().__init__(self._own)
 
     def time(self) -> float:
--- a/topazbank/__main__.py
+++ b/topazbank/__main__.py
@@ -23,6 +23,7 @@
 from topazbank.logs import Flood, LogConfig, start_log
 from topazbank.net import frontend
 from topazbank.net.discovery import Told, parse_list
+from topazbank.net.queueing import TimedLoop
 from topazbank.net.sidecar import Config, Sidecar, StateConfig
 from topazbank.net.upstream import parse_address
 from topazbank.wirehost import settings_from_wire
@@ -251,7 +252,8 @@
     frontend.log.addFilter(Flood(_REJECTED_LINES, _REJECTED_LINES))
     gc.freeze()  # what is loaded by now stays; collections look at requests alone
     try:
-        asyncio.run(serve(config, flood))
+        with asyncio.Runner(loop_factory=TimedLoop) as runner:
+            runner.run(serve(config, flood))
     except OSError as fault:
         print(f"can't serve: {fault}", file=sys.stderr)
         return 1
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -14,6 +14,7 @@
 import h11
 
 from topazbank.interface import Repeat, Settings
+from topazbank.net.queueing import BacklogAge, PollTimes, since_last_data_s
 from topazbank.net.streams import (
     EVENTS_AT_ONCE,
     HELD_WHOLE,
@@ -37,6 +38,7 @@
 _ACCEPTED_AT_ONCE = 64  # connections taken in one step of the event loop
 _LET_GO_EVERY_S = 0.02  # how often a drain looks for connections that came to rest
 _FLUSH_STEP_S = 0.005  # how often the end looks whether its last answers have left
+_DELAY_LEAST_S = 0.01  # queueing delay below this is not taken off a request's time
 _ACCEPT_PAUSE_S = 0.05  # after a failed accept, descriptors lacking: no spinning
 _WHOLE_S = 2.5  # what a head may take from its first byte: slow ones take 2 s, and after 3 s an end is owed
 _BODY_BEGINS_S = 1.5  # after its head, when a body must have begun to come
@@ -176,7 +178,8 @@
 class ClientConnection(Receiver):
     """One connection of the application; it carries one request at a time."""
 
-    def __init__(self, frontend: Frontend, sock: socket.socket) -> None:
+    def __init__(self, frontend: Frontend, sock: socket.socket, established_after: float) -> None:
+        """Serve an accepted connection; it came up after that time, on the event loop's clock."""
         super().__init__(frontend.budget)
         self._frontend = frontend
         self._sock = sock
@@ -199,6 +202,10 @@
         self._body_from = 0.0  # since when its body is counted
         self._body_came = 0  # bytes of it since then
         self._came_at = 0.0  # when the last of them came
+        self._unread_since: float | None = (
+            established_after  # nothing was read since then; None: it is polled
+        )
+        self._arrived_at = 0.0  # when what was read last had arrived in the kernel, at the earliest
         # It sent too far ahead: it is read no more but for its end, which its answer brings.
         self._drops = False
         self._dropped = 0  # bytes so far
@@ -232,7 +239,7 @@
         if self._drops:
             self._drop(data)
             return
-        self._came_at = asyncio.get_running_loop().time()
+        self._note_arrival()
         try:
             self._h11.receive_data(data)
         except h11.RemoteProtocolError as bad:
@@ -243,6 +250,22 @@
         elif len(self._h11.trailing_data[0]) > HELD_WHOLE:
             self._drops = True  # it sends ahead; what is held is bounded, and its leaving must be seen
 
+    def _note_arrival(self) -> None:
+        """Note when the input that is read now came, and how long it can have waited before."""
+        self._came_at = now = asyncio.get_running_loop().time()
+        unread_since = self._frontend.poll_times.unread_since
+        if self._unread_since is not None:
+            unread_since, self._unread_since = min(unread_since, self._unread_since), None
+        delay_s = max(now - unread_since, 0.0)
+        if delay_s >= _DELAY_LEAST_S and (known_s := since_last_data_s(self._sock)) is not None:
+            delay_s = min(delay_s, known_s)
+        self._arrived_at = now - delay_s
+
+    def _time_left_us(self, budget_us: int) -> int:
+        """Take off a request's time what it waited for after it had come whole."""
+        delay_s = asyncio.get_running_loop().time() - self._arrived_at
+        return budget_us if delay_s < _DELAY_LEAST_S else max(budget_us - int(delay_s * 1e6), 0)
+
     def _drop(self, data: bytes) -> None:
         """Read on what was sent ahead too far, only to see its client leave; without end it is none."""
         self._dropped += len(data)
@@ -415,6 +438,8 @@
             return
         was, self._paused = self._paused, self._more or (self._upload is not None and self._upload.is_full())
         if self._paused:
+            if not was:
+                self._unread_since = asyncio.get_running_loop().time()
             self._transport.pause_reading()
             self._look_later()
         else:
@@ -516,12 +541,14 @@
             self._end_upload()
             upload.end()
             if call is not None:
+                call.budget_us = self._time_left_us(call.budget_us)
                 self._frontend.hooks.whole(call)
         elif head.target.partition(b"?")[0] == _READY_PATH:
             self._answer(200 if self._frontend.hooks.ready() else 503, [], b"")
         else:
-            self._call = self._parsed(head, body)
-            self._frontend.hooks.taken(self._call)
+            self._call = call = self._parsed(head, body)
+            call.budget_us = self._time_left_us(call.budget_us)
+            self._frontend.hooks.taken(call)
 
     def _reject(self, bad: BadRequest) -> None:
         log.info("request from port %d rejected: %.120s", self._port, bad)
@@ -671,8 +698,11 @@
         settings: Settings,
         inherited: int | None = None,
         budget: Budget | None = None,
+        poll_times: PollTimes | None = None,
     ) -> None:
         self.hooks = hooks
+        self.poll_times = poll_times or PollTimes(math.inf)  # without: input is never known to have waited
+        self._backlog = BacklogAge(_BACKLOG)
         self.budget = budget or Budget()
         self.settings = settings
         self.draining = False
@@ -707,31 +737,42 @@
         Says whether more may be waiting.
         """
         self._sock.setblocking(False)  # an inherited socket shares its flags with whoever else holds it
+        now, unread_since = asyncio.get_running_loop().time(), self.poll_times.unread_since
         for _ in range(_ACCEPTED_AT_ONCE):
             if len(self.connections) + len(self._starting) >= self._most and not self._make_room():
-                self._pause()
-                asyncio.get_running_loop().call_later(_ACCEPT_PAUSE_S, self._accept_again)
+                self._backlog.left(unread_since, now)
+                self._pause_accepting()
                 return False
             try:
                 sock, _ = self._sock.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                self._backlog.emptied()
                 return False
             except OSError as fault:
                 log.error("accept: %s", fault)
-                self._pause()
-                asyncio.get_running_loop().call_later(_ACCEPT_PAUSE_S, self._accept_again)
+                self._backlog.left(unread_since, now)
+                self._pause_accepting()
                 return False
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            task = asyncio.get_running_loop().create_task(self._begin(sock))
-            self._starting.add(task)
-            task.add_done_callback(self._starting.discard)
+            self._take(sock, self._backlog.oldest(unread_since))
+            self._backlog.accepted(now)
+        self._backlog.left(unread_since, now)
         return True
 
-    async def _begin(self, sock: socket.socket) -> None:
-        loop = asyncio.get_running_loop()
+    def _pause_accepting(self) -> None:
+        self._pause()
+        asyncio.get_running_loop().call_later(_ACCEPT_PAUSE_S, self._accept_again)
+
+    def _take(self, sock: socket.socket, established_after: float) -> None:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection = ClientConnection(self, sock, established_after)
+        task = asyncio.get_running_loop().create_task(self._begin(sock, connection))
+        self._starting.add(task)
+        task.add_done_callback(self._starting.discard)
+
+    async def _begin(self, sock: socket.socket, connection: ClientConnection) -> None:
         try:
-            await loop.connect_accepted_socket(lambda: ClientConnection(self, sock), sock)
+            await asyncio.get_running_loop().connect_accepted_socket(lambda: connection, sock)
         except BaseException as fault:
             sock.close()
             if not isinstance(fault, OSError):
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -206,7 +206,8 @@
         again_s = _UNHEARD_SPANS * settings.rules.ask_within_us / 1e6
         self._discovery = Discovery(config.discovery, config.known.version, self._told, again_s)
         hooks = Hooks(self._taken, self._gone, self._is_ready, self._body_ended)
-        self.frontend = Frontend(config.listen, half, hooks, settings, config.accept_fd, budget)
+        poll_times = getattr(asyncio.get_running_loop(), "poll_times", None)
+        self.frontend = Frontend(config.listen, half, hooks, settings, config.accept_fd, budget, poll_times)
         self._takes_over = config.accept_fd is not None
         self._listed = asyncio.Event()  # discovery has answered
         self._takes_clients = False
