Close a connection at rest only where another waits to be accepted, and count each once

Cause: Frontend._accept made room before it knew whether anybody waited, so each run at the bound closed one idle connection too many; and a connection being set up was counted twice, among those starting and those open. Change: at the bound the listening socket is polled first; _opening holds what was accepted and is not served yet.

--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -15,7 +15,7 @@
 
 from topazbank import balancer
 from topazbank.interface import Action, Event, Refuse, RequestArrived, RequestGone
-from topazbank.net import frontend
+from topazbank.net import frontend, upstream
 from topazbank.net.frontend import ClientConnection, Frontend, Hooks
 from topazbank.net.streams import LONGEST
 
@@ -274,6 +274,36 @@
     play(scene())
 
 
+def test_a_flood_of_idle_clients_costs_a_bounded_number_of_looks_and_closes_no_more_than_it_must(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # herd+crowd: each connection accepted at the bound looked at all others, a system call each.
+    looks, real = 0, upstream.is_quiet
+
+    def counted(sock: socket.socket) -> bool:
+        nonlocal looks
+        looks += 1
+        return real(sock)
+
+    async def scene() -> None:
+        most, flood = 100, 300
+        async with world(served, sockets=64 + 2 * most) as w:
+            reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
+            writer.write(request())
+            assert (await read_answer(reader))[0] == 200
+            monkeypatch.setattr(frontend, "is_quiet", counted)
+            with contextlib.ExitStack() as clients:
+                for _ in range(flood):
+                    clients.enter_context(socket.create_connection(w.sidecar.frontend.address))
+                    await asyncio.sleep(0)
+                await until(lambda: not w.sidecar.frontend._starting)
+                assert len(w.sidecar.frontend.connections) == most
+                assert looks <= 2 * flood
+            writer.close()
+
+    play(scene())
+
+
 @pytest.mark.parametrize(
     "sent", [b"", b"GET /a", request("pay", body=b"xyz")[:-1]], ids=["0", "line", "body"]
 )
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -26,7 +26,7 @@
     Source,
     Upload,
 )
-from topazbank.net.upstream import Address, Headers, end_to_end, has_ended, is_quiet
+from topazbank.net.upstream import Address, Headers, end_to_end, has_ended, is_quiet, is_readable
 
 log = logging.getLogger(__name__)
 
@@ -217,7 +217,7 @@
         self._transport = transport
         self._port = int((transport.get_extra_info("peername") or ("", 0))[1])
         transport.set_write_buffer_limits(high=0)
-        self._frontend.connections[self] = None
+        self._frontend.opened(self)
         self._await_request()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -711,6 +711,7 @@
         self._most = most
         self._accepting = False
         self._starting: set[asyncio.Task[None]] = set()
+        self._opening: set[ClientConnection] = set()  # those accepted that are not among `connections` yet
         if inherited is None:
             self._sock = socket.create_server(address, backlog=_BACKLOG)
         else:
@@ -739,10 +740,14 @@
         self._sock.setblocking(False)  # an inherited socket shares its flags with whoever else holds it
         now, unread_since = asyncio.get_running_loop().time(), self.poll_times.unread_since
         for _ in range(_ACCEPTED_AT_ONCE):
-            if len(self.connections) + len(self._starting) >= self._most and not self._make_room():
-                self._backlog.left(unread_since, now)
-                self._pause_accepting()
-                return False
+            if len(self.connections) + len(self._opening) >= self._most:
+                if not is_readable(self._sock):  # no room is made for nobody
+                    self._backlog.emptied()
+                    return False
+                if not self._make_room():
+                    self._backlog.left(unread_since, now)
+                    self._pause_accepting()
+                    return False
             try:
                 sock, _ = self._sock.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
@@ -766,6 +771,7 @@
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = ClientConnection(self, sock, established_after)
+        self._opening.add(connection)
         task = asyncio.get_running_loop().create_task(self._begin(sock, connection))
         self._starting.add(task)
         task.add_done_callback(self._starting.discard)
@@ -777,6 +783,13 @@
             sock.close()
             if not isinstance(fault, OSError):
                 raise
+        finally:
+            self._opening.discard(connection)
+
+    def opened(self, connection: ClientConnection) -> None:
+        """Count an accepted connection among those that are served from now on."""
+        self._opening.discard(connection)
+        self.connections[connection] = None
 
     def _make_room(self) -> bool:
         """Close the connection longest at rest, preferring one that has carried a request.
--- a/topazbank/net/upstream.py
+++ b/topazbank/net/upstream.py
@@ -70,6 +70,13 @@
     return False
 
 
+def is_readable(sock: socket.socket) -> bool:
+    """Whether a socket has something to read, or a listening one a connection to accept."""
+    poller = select.poll()
+    poller.register(sock, select.POLLIN)
+    return bool(poller.poll(0))
+
+
 def has_ended(sock: socket.socket) -> bool:
     """Whether the other side has ended a connection, be it behind bytes that nobody has read yet."""
     try:
