--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -15,7 +15,7 @@
 from helpers import settings
 
 from topazbank.interface import Action, Event
-from topazbank.net.discovery import parse_list
+from topazbank.net.endpoint_list import parse_list
 from topazbank.net.sidecar import Config, Sidecar
 from topazbank.net.upstream import Address
 
--- a/tests/test_close_range.py
+++ b/tests/test_close_range.py
@@ -43,7 +43,8 @@
     TimerFired,
 )
 from topazbank.net import upstream
-from topazbank.net.discovery import Discovery, Told
+from topazbank.net.discovery import Discovery
+from topazbank.net.endpoint_list import ListUpdate
 from topazbank.net.orders import Orders
 from topazbank.net.streams import STALLED_S
 
@@ -1077,7 +1078,7 @@
         old, other = FakeDiscovery(), FakeDiscovery()
         await old.start()
         await other.start()
-        heard: list[Told | None] = []
+        heard: list[ListUpdate | None] = []
         asked = Discovery(old.address, 1, lambda told, silent: heard.append(told))
         asked.fetch()
         asked.fetch()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -10,7 +10,8 @@
 
 from topazbank.interface import ServerState
 from topazbank.net import discovery as net_discovery
-from topazbank.net.discovery import _IDLE_S, Discovery, Told, parse_list
+from topazbank.net.discovery import _IDLE_S, Discovery
+from topazbank.net.endpoint_list import ListUpdate, parse_list
 
 
 def served(*_: object) -> bytes:
@@ -111,7 +112,7 @@
 
 def test_discovery_that_is_down_is_a_failed_call() -> None:
     async def scene() -> None:
-        heard: list[Told | None] = []
+        heard: list[ListUpdate | None] = []
         down = FakeDiscovery()
         await down.start()
         down.stop()
@@ -129,7 +130,7 @@
     async def scene() -> None:
         service = FakeDiscovery()
         await service.start()
-        heard: list[Told | None] = []
+        heard: list[ListUpdate | None] = []
         discovery = Discovery(service.address, 1, lambda told, silent: heard.append(told))
         for _ in range(3):
             discovery.follow(True)
@@ -193,13 +194,13 @@
     ]
     told = parse_list({"index": 5, "snapshot": True, "endpoints": [*junk, entry(since_ms=2, group=3)]})
     assert len(caplog.messages) == 1 and len(caplog.messages[0]) < 300
-    assert [each.server.server for each in told.lines] == ["s-1"]
-    line = told.lines[0]
+    assert [each.server.server for each in told.entries] == ["s-1"]
+    line = told.entries[0]
     # Not complete: who is missing may be among the junk, and a good list is not dropped for it.
     assert (told.version, told.complete, line.address) == (5, False, ("127.0.0.1", 9))
     assert parse_list({"index": 5, "snapshot": True, "endpoints": [entry()]}).complete
     assert (line.server.started_at, line.server.cell, line.server.zone) == (2000, 3, "a")
-    assert parse_list({"index": 5, "endpoints": [entry()]}).lines[0].server.started_at is None
+    assert parse_list({"index": 5, "endpoints": [entry()]}).entries[0].server.started_at is None
 
 
 @pytest.mark.parametrize(
@@ -213,7 +214,7 @@
 )
 def test_a_status_that_is_not_known_takes_nothing_new(status: str, state: ServerState) -> None:
     told = parse_list({"index": 5, "snapshot": False, "endpoints": [entry(status=status)]})
-    assert told.lines[0].server.state is state
+    assert told.entries[0].server.state is state
 
 
 @pytest.mark.parametrize("status", ["leaving", "left"])
--- a/topazbank/__main__.py
+++ b/topazbank/__main__.py
@@ -22,7 +22,7 @@
 from topazbank.interface import locality_from
 from topazbank.logs import Flood, LogConfig, start_log
 from topazbank.net import frontend
-from topazbank.net.discovery import Told, parse_list
+from topazbank.net.endpoint_list import ListUpdate, parse_list
 from topazbank.net.queueing import TimedLoop
 from topazbank.net.sidecar import Config, Sidecar, StateConfig
 from topazbank.net.upstream import parse_address
@@ -96,7 +96,7 @@
         "memory_mb": lambda: _limit(given.get("limits"), "memory_mb", _MEMORY_MB),
         "settings": lambda: settings_from_wire(given.get("settings")),
         "locality": lambda: locality_from(given.get("locality")),
-        "known": lambda: Told(0, True, []) if known is None else parse_list(known),
+        "known": lambda: ListUpdate(0, True, []) if known is None else parse_list(known),
         "orders": lambda: Path(environ.get("TMPDIR") or tempfile.gettempdir()),
         "mgmt": lambda: _address(mgmt, "mgmt") if mgmt is not None else None,
         "accept_fd": lambda: _descriptor(environ.get("RELAY_ACCEPT_FD")),
--- a/topazbank/net/discovery.py
+++ b/topazbank/net/discovery.py
@@ -5,16 +5,13 @@
 import asyncio
 import json
 import logging
-import math
 import random
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass
-from typing import Any
+from collections.abc import Callable
 
 import h11
 
-from topazbank.interface import ListedServer, ServerState
-from topazbank.net.upstream import Address, Connection, Response, connect, parse_address
+from topazbank.net.endpoint_list import ListUpdate, parse_list
+from topazbank.net.upstream import Address, Connection, Response, connect
 
 log = logging.getLogger(__name__)
 
@@ -29,112 +26,6 @@
 _CALL_S = 2.0  # what a call may take besides: the service itself fails those that stood in its queue so long
 _IDLE_S = 0.1  # between watches that come back at once with nothing, well within the 200 ms of one watch
 _LIST_MOST = 1024 * 1024  # thousands of servers; parsed, junk takes some twenty times its size
-_STATES = {"active": ServerState.READY, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
-
-
-@dataclass(slots=True)
-class Listed:
-    """A line of the list, with the address that the server has for this sidecar."""
-
-    server: ListedServer
-    address: Address | None
-
-
-@dataclass(slots=True)
-class Told:
-    """What discovery answered."""
-
-    version: int
-    complete: bool
-    lines: list[Listed]
-
-
-def parse_list(given: object) -> Told:
-    """Read discovery's form; junk entries are skipped with one log line, a junk list is a ValueError.
-
-    A whole list that holds junk is read as changes: who is missing may be what could not be read.
-    """
-    if not isinstance(given, Mapping) or not isinstance(given.get("endpoints"), list):
-        raise ValueError("a list of servers is an object with endpoints")
-    version = given.get("index")
-    if type(version) is not int:
-        raise ValueError("index: a whole number is needed")
-    lines, skipped, first = [], 0, ""
-    for entry in given["endpoints"]:
-        try:
-            lines.append(_listed(entry))
-        except (ValueError, TypeError, KeyError, AttributeError) as fault:
-            skipped += 1
-            first = first or f"{fault!r:.80}: {entry!r:.120}"
-    if skipped:
-        log.warning("%d of %d list entries skipped, first %s", skipped, len(given["endpoints"]), first)
-    return Told(version, given.get("snapshot") is True and not skipped, lines)
-
-
-def _listed(entry: Mapping[str, Any]) -> Listed:
-    name, zone, kind = entry["name"], entry.get("zone", ""), entry.get("type", "")
-    group, weight, since_ms = entry.get("group", 0), entry.get("weight", 1.0), entry.get("since_ms", 0)
-    if not all(isinstance(each, str) for each in (name, zone, kind)) or not name:
-        raise ValueError("name, zone and type must be texts")
-    if type(group) is not int or type(since_ms) is not int or since_ms < 0:
-        raise ValueError("group and since_ms must be whole numbers")
-    if isinstance(weight, bool) or not isinstance(weight, int | float) or not math.isfinite(weight):
-        raise ValueError("weight must be a number")
-    # A status that is not known here takes nothing new.
-    state = _STATES.get(entry["status"], ServerState.DRAINING)
-    started_at = since_ms * 1000 or None
-    server = ListedServer(name, zone, kind, group, state, float(weight), started_at)
-    return Listed(server, _place(entry.get("address"), state))
-
-
-def _place(value: object, state: ServerState) -> Address | None:
-    """Where the server listens; one that takes nothing new needs no address, and its leaving must be told."""
-    try:
-        return parse_address(str(value))
-    except ValueError:
-        if state is ServerState.READY:
-            raise
-        return None
-
-
-class Lines:
-    """The list as it is by now, in discovery's form."""
-
-    def __init__(self) -> None:
-        self.version = 0
-        self._lines: dict[str, Listed] = {}
-        self._text: str | None = None  # until the list changes
-
-    def take(self, told: Told) -> None:
-        if told.complete:
-            self._lines = {}
-        for line in told.lines:
-            self._lines[line.server.server] = line
-            if line.server.state is ServerState.GONE:
-                del self._lines[line.server.server]
-        self.version, self._text = told.version, None
-
-    def text(self) -> str:
-        """The list as JSON, made once for each time it changes: it is kept every second."""
-        if self._text is None:
-            self._text = json.dumps(self.told())
-        return self._text
-
-    def told(self) -> dict[str, Any]:
-        return {
-            "index": self.version,
-            "snapshot": True,
-            "endpoints": [_entry(e) for e in self._lines.values()],
-        }
-
-
-def _entry(line: Listed) -> dict[str, Any]:
-    server, words = line.server, {state: word for word, state in _STATES.items()}
-    entry = {"name": server.server, "zone": server.zone, "type": server.kind, "group": server.cell}
-    if line.address is not None:
-        entry["address"] = "{}:{}".format(*line.address)
-    since_ms = (server.started_at or 0) // 1000
-    return entry | {"status": words[server.state], "weight": server.nominal, "since_ms": since_ms}
 
 
 class Discovery:
@@ -148,7 +39,7 @@
         self,
         address: Address,
         version: int,
-        told: Callable[[Told | None, bool], None],
+        told: Callable[[ListUpdate | None, bool], None],
         again_s: float = 25.0,
         chance: Callable[[], float] = random.random,
     ) -> None:
@@ -247,13 +138,13 @@
 
     async def _ask(self, target: str, limit_s: float) -> bool:
         """Make a call and tell what came of it; say whether the watch may go on."""
-        told: Told | None = None
+        told: ListUpdate | None = None
         silent = False
         moves, version, began = self._moves, self._version, asyncio.get_running_loop().time()
         try:
             async with asyncio.timeout(limit_s):
                 told = self._read(await self._call(target))
-            end = f"version {told.version}, {len(told.lines)} lines{', all' if told.complete else ''}"
+            end = f"version {told.version}, {len(told.entries)} lines{', all' if told.complete else ''}"
         except (OSError, ValueError, RecursionError) as fault:  # JSON nested too deep is junk like any other
             end = str(fault) or type(fault).__name__
             silent = isinstance(fault, TimeoutError)
@@ -271,7 +162,7 @@
             return True
         return self._tell(told, silent)
 
-    def _tell(self, told: Told | None, silent: bool) -> bool:
+    def _tell(self, told: ListUpdate | None, silent: bool) -> bool:
         if told is not None:
             self._version = told.version
             try:
@@ -289,7 +180,7 @@
             self._told(None, silent)
 
     @staticmethod
-    def _read(response: Response | None) -> Told:
+    def _read(response: Response | None) -> ListUpdate:
         if response is None:
             raise ConnectionResetError("the connection broke")
         if response.status != 200:
--- /dev/null
+++ b/topazbank/net/endpoint_list.py
@@ -0,0 +1,125 @@
+"""The list of servers in discovery's form: reading it, and keeping it up to date."""
+
+from __future__ import annotations
+
+import json
+import logging
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from topazbank.interface import ListedServer, ServerState
+from topazbank.net.upstream import Address, parse_address
+
+log = logging.getLogger(__name__)
+
+_STATES = {"active": ServerState.READY, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
+_STATUSES = {state: status for status, state in _STATES.items()}
+
+
+@dataclass(slots=True)
+class ListEntry:
+    """A server of the list, with the address that it has for this sidecar."""
+
+    server: ListedServer
+    address: Address | None
+
+
+@dataclass(slots=True)
+class ListUpdate:
+    """What discovery answered: the whole list (a snapshot) or what changed (a delta)."""
+
+    version: int
+    complete: bool
+    entries: list[ListEntry]
+
+
+def parse_list(given: object) -> ListUpdate:
+    """Read discovery's form; junk entries are skipped with one log line, a junk list is a ValueError.
+
+    A whole list that holds junk is read as changes: who is missing may be what could not be read.
+    """
+    if not isinstance(given, Mapping) or not isinstance(given.get("endpoints"), list):
+        raise ValueError("a list of servers is an object with endpoints")
+    version = given.get("index")
+    if type(version) is not int:
+        raise ValueError("index: a whole number is needed")
+    entries, skipped, first = [], 0, ""
+    for entry in given["endpoints"]:
+        try:
+            entries.append(_read_entry(entry))
+        except (ValueError, TypeError, KeyError, AttributeError) as fault:
+            skipped += 1
+            first = first or f"{fault!r:.80}: {entry!r:.120}"
+    if skipped:
+        log.warning("%d of %d list entries skipped, first %s", skipped, len(given["endpoints"]), first)
+    return ListUpdate(version, given.get("snapshot") is True and not skipped, entries)
+
+
+def _read_entry(entry: Mapping[str, Any]) -> ListEntry:
+    name, zone, kind = entry["name"], entry.get("zone", ""), entry.get("type", "")
+    group, weight, since_ms = entry.get("group", 0), entry.get("weight", 1.0), entry.get("since_ms", 0)
+    if not all(isinstance(each, str) for each in (name, zone, kind)) or not name:
+        raise ValueError("name, zone and type must be texts")
+    if type(group) is not int or type(since_ms) is not int or since_ms < 0:
+        raise ValueError("group and since_ms must be whole numbers")
+    if isinstance(weight, bool) or not isinstance(weight, int | float) or not math.isfinite(weight):
+        raise ValueError("weight must be a number")
+    # A status that is not known here takes nothing new.
+    state = _STATES.get(entry["status"], ServerState.DRAINING)
+    started_at = since_ms * 1000 or None
+    server = ListedServer(name, zone, kind, group, state, float(weight), started_at)
+    return ListEntry(server, _read_address(entry.get("address"), state))
+
+
+def _read_address(value: object, state: ServerState) -> Address | None:
+    """Where the server listens; one that takes nothing new needs no address, and its leaving must be told."""
+    try:
+        return parse_address(str(value))
+    except ValueError:
+        if state is ServerState.READY:
+            raise
+        return None
+
+
+class EndpointList:
+    """The list as it is by now, in discovery's form."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self._entries: dict[str, ListEntry] = {}
+        self._text: str | None = None  # until the list changes
+
+    def apply(self, update: ListUpdate) -> None:
+        """Bring the list up to date by what discovery answered."""
+        if update.complete:
+            self._entries = {}
+        for entry in update.entries:
+            self._entries[entry.server.server] = entry
+            if entry.server.state is ServerState.GONE:
+                del self._entries[entry.server.server]
+        self.version, self._text = update.version, None
+
+    def text(self) -> str:
+        """The list as JSON, made once for each time it changes: it is kept every second."""
+        if self._text is None:
+            self._text = json.dumps(self.snapshot())
+        return self._text
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return the whole list in discovery's form."""
+        return {
+            "index": self.version,
+            "snapshot": True,
+            "endpoints": [_form(each) for each in self._entries.values()],
+        }
+
+
+def _form(entry: ListEntry) -> dict[str, Any]:
+    server = entry.server
+    form = {"name": server.server, "zone": server.zone, "type": server.kind, "group": server.cell}
+    if entry.address is not None:
+        form["address"] = "{}:{}".format(*entry.address)
+    since_ms = (server.started_at or 0) // 1000
+    return form | {"status": _STATUSES[server.state], "weight": server.nominal, "since_ms": since_ms}
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -59,7 +59,8 @@
 from topazbank.logs import LogConfig
 from topazbank.net import upstream
 from topazbank.net.admin import Declined, Door, Operation
-from topazbank.net.discovery import Discovery, Lines, Told, parse_list
+from topazbank.net.discovery import Discovery
+from topazbank.net.endpoint_list import EndpointList, ListUpdate, parse_list
 from topazbank.net.frontend import Call, Frontend, Hooks
 from topazbank.net.orders import Orders
 from topazbank.net.streams import Budget, Sink, Source
@@ -161,7 +162,7 @@
     seed: int
     sockets: int
     settings: Settings
-    known: Told
+    known: ListUpdate
     memory_mb: int = 64
     orders: Path = Path()  # a folder that outlasts this process
     mgmt: Address | None = None  # where the operators call; None: nowhere
@@ -222,7 +223,7 @@
         self._zone_orders: dict[str, ZoneOrder] = {}
         self._keeper = self._open_state(config)
         self._kept: Kept | None = None
-        self._lines = Lines()  # the list as it is now, for the state
+        self._endpoint_list = EndpointList()  # as it is now, for the state
         self._keep_every_s = config.state.every_ms / 1000 if config.state is not None else 0.0
         self._warm_s = config.state.warm_ms / 1000 if config.state is not None else 0.0
         self.door = Door(config.mgmt, self._operations()) if config.mgmt is not None else None
@@ -483,7 +484,7 @@
         except ValueError as bad:
             log.warning("state: the list kept is not taken: %s", bad)
             return
-        if told.version > self._known.version and told.lines:
+        if told.version > self._known.version and told.entries:
             self._known = told
             self._discovery.begin(told.version)
 
@@ -499,7 +500,9 @@
         """Gather and write what is known, each second; it serves on where the disk says no."""
         assert self._keeper is not None
         plane = self._link.plane if self._link is not None else None
-        listed = (self._discovery.place(), self._lines.text()) if self._lines.version else None
+        listed = (
+            (self._discovery.place(), self._endpoint_list.text()) if self._endpoint_list.version else None
+        )
         self._keeper.keep(self._balancer, self._clock.now(), plane, listed)
 
     def _hear_exclusions(self) -> None:
@@ -878,7 +881,7 @@
         del self._timers[number]
         call(*about)
 
-    def _told(self, told: Told | None, silent: bool = False) -> None:
+    def _told(self, told: ListUpdate | None, silent: bool = False) -> None:
         if told is not None:
             self._listed.set()
             self._list(ListKind.COMPLETE if told.complete else ListKind.CHANGES, told)
@@ -888,20 +891,20 @@
             wait_s = 0.0 if silent else _PUSHED_AGAIN_S  # silence took its time already
             self._later(wait_s, self._discovery.follow, True)
 
-    def _list(self, kind: ListKind, told: Told) -> None:
+    def _list(self, kind: ListKind, told: ListUpdate) -> None:
         """Note the addresses first: the balancer may send on hearing of a server.
 
         What that ends, a dial to a server that leaves, is heard after the list: else it would be sent again
         by a list that holds no more.
         """
-        with self._told_first(ServersListed(kind, [line.server for line in told.lines], told.version)):
+        with self._told_first(ServersListed(kind, [entry.server for entry in told.entries], told.version)):
             if kind is not ListKind.CHANGES:
-                self._upstream.retain({line.server.server for line in told.lines})
+                self._upstream.retain({entry.server.server for entry in told.entries})
             if self._keeper is not None:
-                self._lines.take(told)
-            for line in told.lines:
-                server = line.server
-                self._upstream.update(server.server, line.address, server.started_at, server.state)
+                self._endpoint_list.apply(told)
+            for entry in told.entries:
+                server = entry.server
+                self._upstream.update(server.server, entry.address, server.started_at, server.state)
         self._upstream.forget_gone()
 
 
