--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -116,7 +116,7 @@
         down = FakeDiscovery()
         await down.start()
         down.stop()
-        discovery = Discovery(down.address, 1, lambda told, silent: heard.append(told))
+        discovery = Discovery([down.address], 1, lambda told, silent: heard.append(told))
         discovery.follow(True)
         await until(lambda: heard == [None])
         await until(lambda: discovery._watch is None or discovery._watch.done())
@@ -131,7 +131,7 @@
         service = FakeDiscovery()
         await service.start()
         heard: list[ListUpdate | None] = []
-        discovery = Discovery(service.address, 1, lambda told, silent: heard.append(told))
+        discovery = Discovery([service.address], 1, lambda told, silent: heard.append(told))
         for _ in range(3):
             discovery.follow(True)
         await until(lambda: service.targets)
@@ -153,7 +153,7 @@
             await until(lambda: w.discovery.targets)
             moved = FakeDiscovery()
             await moved.start()
-            w.sidecar._discovery.move(moved.address)
+            w.sidecar._discovery.move([moved.address])
             moved.say(7, [w.servers[1].entry()], snapshot=True)
             await until(lambda: len(moved.targets) == 2)
             assert moved.targets[0] == "/registry/instances"
--- a/topazbank/__main__.py
+++ b/topazbank/__main__.py
@@ -25,6 +25,7 @@
 from topazbank.net.endpoint_list import ListUpdate, parse_list
 from topazbank.net.queueing import TimedLoop
 from topazbank.net.sidecar import Config, Sidecar, StateConfig
+from topazbank.net.sources import RelayAddress
 from topazbank.net.upstream import parse_address
 from topazbank.wirehost import settings_from_wire
 
@@ -37,6 +38,7 @@
 _SOCKETS = 1024  # unless the configuration tells
 _STATE_PART = 64  # of memory_mb, what the state may take on disk, which counts as memory
 _MEMORY_MB = 64  # likewise
+_RELAYS_MOST = 64
 _REJECTED_LINES = 10  # a second, for what is not a proper request
 
 
@@ -107,6 +109,8 @@
             _address(each, "peers[]") for each in _listed(given.get("peers", []), "peers")
         ),
         "peer_plane": lambda: _tuning(given.get("peer_plane")),
+        "identity": lambda: str(environ.get("RELAY_NAME") or given.get("name") or "")[:200],
+        "relays": lambda: _relays(given.get("relays")),
         "duties": lambda: _terms(given.get("duties"), given.get("peer_plane")),
         "state": lambda: _state(given, environ),
         "logging": lambda: LogConfig.from_mapping(given.get("logging")),
@@ -121,7 +125,7 @@
 _PLATFORM_KEYS = set(
     "name listen discovery seed limits peer_listen peers peers_all known settings mgmt".split()
 )
-_OPERATORS_KEYS = ("peer_plane", "duties", "state", "locality", "logging")
+_OPERATORS_KEYS = ("peer_plane", "duties", "state", "locality", "logging", "relays")
 
 
 def _listed(value: Any, name: str) -> list[Any]:
@@ -191,6 +195,25 @@
     return StateConfig(Path(folder), most, shared, **times) if value.get("on", False) is True else None
 
 
+def _relays(value: Any) -> tuple[RelayAddress, ...]:
+    """The operators' `relays`: a list of objects of `address` and, if told, `zone` (docs/relay.md)."""
+    if value is None:
+        return ()
+    if not isinstance(value, list) or not 1 <= len(value) <= _RELAYS_MOST:
+        raise ValueError(f"relays: a list of 1 to {_RELAYS_MOST} is needed")
+    relays = []
+    for each in value:
+        if not isinstance(each, dict) or set(each) - {"address", "zone"}:
+            raise ValueError("relays[]: an object of address and zone is needed")
+        zone = each.get("zone", "")
+        if not isinstance(zone, str):
+            raise ValueError("relays[].zone: a text is needed")
+        relays.append(RelayAddress(_address(each.get("address"), "relays[].address"), zone))
+    if len({each.address for each in relays}) < len(relays):
+        raise ValueError("relays: an address is there twice")
+    return tuple(relays)
+
+
 def _address(value: Any, name: str) -> tuple[str, int]:
     if not isinstance(value, str):
         raise ValueError(f"{name}: an address is needed")
--- a/topazbank/net/discovery.py
+++ b/topazbank/net/discovery.py
@@ -1,21 +1,31 @@
-"""The list of servers: watches and fetches.  When to ask is not decided here."""
+"""The discovery client: watches and fetches of the list of servers.  When to ask is not decided here.
+
+A call goes to the registry or, where relays are configured, to one of them (docs/relay.md).  A relay's answers
+carry an entity tag of the list they lead to and the age of what the relay knows, in the same published form.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import json
 import logging
+import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 
 import h11
 
 from topazbank.net.endpoint_list import ListUpdate, parse_list
+from topazbank.net.sources import STALE_S, SourceSelector
 from topazbank.net.upstream import Address, Connection, Response, connect
 
 log = logging.getLogger(__name__)
 
-_PATH = "/registry/instances"
+LIST_PATH = "/registry/instances"
+AGE_HEADER = "X-Source-Age-Ms"  # how long ago who sends it last heard from the registry, in milliseconds
+TAG_HEADER = "ETag"  # of the list that an answer leads to; sent back as If-None-Match
+
 # A watch that fell silent has its news counted as told 6 s later, or 2 s after its wait where that is later.
 # It is noticed 3.5 s after its call at the latest, and asked anew at once by a call that hardly waits: where
 # that one is silent too, the third goes out 5.6 s after the first.
@@ -26,6 +36,29 @@
 _CALL_S = 2.0  # what a call may take besides: the service itself fails those that stood in its queue so long
 _IDLE_S = 0.1  # between watches that come back at once with nothing, well within the 200 ms of one watch
 _LIST_MOST = 1024 * 1024  # thousands of servers; parsed, junk takes some twenty times its size
+# With several relays a silent one is left for the next within 2.5 s, and a second one after another 1.1 s.
+_RELAY_WAIT_MS = 1_000
+_RELAY_LATE_S = 1.0
+_AS_OF_ERROR_S = 0.25  # what the time that an answer stands for may be off, by the network and busy processes
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """An answer of discovery, and what a relay says of it."""
+
+    update: ListUpdate
+    age_s: float | None  # of what the relay knows; None: the registry itself answered
+    tag: str | None
+
+
+@dataclass(frozen=True, slots=True)
+class SourceStatus:
+    """Where the list comes from, for the operators."""
+
+    address: str
+    index: int | None
+    age_s: float | None  # how old the news is at most; None: nothing was heard yet
+    sources: int
 
 
 class Discovery:
@@ -37,28 +70,50 @@
 
     def __init__(
         self,
-        address: Address,
+        sources: Sequence[Address],
         version: int,
         told: Callable[[ListUpdate | None, bool], None],
         again_s: float = 25.0,
         chance: Callable[[], float] = random.random,
+        unread_since: Callable[[], float] = lambda: math.inf,
+        wait_ms: int | None = None,
     ) -> None:
-        """`told` takes an answer, or None and whether the call fell silent rather than fail."""
-        self._address = address
+        """Watch from `version` on, at the first of `sources` that answers, in order of preference.
+
+        `told` takes an answer, or, once all sources failed, None and whether the last call fell silent.
+        `unread_since` tells since when the input of this step of the event loop may have waited.
+        """
+        self._sources = SourceSelector(sources, chance)
         self._version: int | None = version  # None: the whole list is needed first
+        self._tag: str | None = None  # of the list that is held, where a relay told it
+        self._as_of = -math.inf  # on the event loop's clock: the list that is held is no older than this
         self._told = told
         self._again_s = again_s
         self._chance = chance
+        self._unread_since = unread_since
+        self._wait_ms = wait_ms
         self._moves = 0  # what was asked before the last of them counts no more
         self._silent = False  # the last call was not answered
+        self._switched = False  # the next call is the first at another source
         self._closed = False
         self._watch: asyncio.Task[None] | None = None
         self._again: asyncio.TimerHandle | None = None
         self._fetches: set[asyncio.Task[bool]] = set()
 
     def place(self) -> str:
-        """Where discovery is asked."""
-        return "{}:{}".format(*self._address)
+        """Where discovery is asked: all sources, for a list that is kept across a restart."""
+        return ",".join("{}:{}".format(*each) for each in sorted(self._sources.addresses))
+
+    def as_of(self) -> float:
+        """Return when the held list was current, on the event loop's clock; -inf before any answer."""
+        return self._as_of
+
+    def status(self) -> SourceStatus:
+        """Return where the list comes from and how old it is."""
+        age_s = asyncio.get_running_loop().time() - self._as_of
+        address = "{}:{}".format(*self._sources.current)
+        known_age_s = round(age_s, 3) if math.isfinite(age_s) else None
+        return SourceStatus(address, self._version, known_age_s, len(self._sources.addresses))
 
     def begin(self, version: int) -> None:
         """Ask for what changed since this version, before anything was asked."""
@@ -75,18 +130,19 @@
 
     def fetch(self) -> None:
         """Ask once for the whole list."""
-        task = asyncio.get_running_loop().create_task(self._ask(_PATH, _CALL_S))
+        task = asyncio.get_running_loop().create_task(self._ask(LIST_PATH, _CALL_S))
         self._fetches.add(task)
         task.add_done_callback(lambda done: self._fetches.discard(done))
 
-    def move(self, address: Address) -> bool:
+    def move(self, sources: Sequence[Address]) -> bool:
         """Ask elsewhere from now on, the whole list first: what versions mean there is not known.
 
         Says whether that is another place, and the run is not over.
         """
-        if address == self._address or self._closed:
+        if list(sources) == self._sources.addresses or self._closed:
             return False
-        self._address, self._version, self._silent = address, None, False
+        self._sources = SourceSelector(sources, self._chance)
+        self._version, self._tag, self._silent, self._as_of = None, None, False, -math.inf
         self._moves += 1
         self.stop()
         self.follow(True)
@@ -122,51 +178,99 @@
         """Call again as soon as a call is answered: later than 200 ms it would be a new watch."""
         loop = asyncio.get_running_loop()
         while True:
+            if self._sources.try_preferred(loop.time()):
+                self._note_switch("it is preferred")
             began, version = loop.time(), self._version
             if not await self._ask(*self._next_call()):
                 return
             if self._version == version and loop.time() < began + _IDLE_S:
                 await asyncio.sleep(_IDLE_S)  # guards against spinning on a service that does not wait
 
+    def _has_relays(self) -> bool:
+        return len(self._sources.addresses) > 1
+
     def _next_call(self) -> tuple[str, float]:
         """What a watch asks for next, and how many seconds that may take."""
+        quick, self._switched = self._silent or self._switched, False
+        late_s = _RELAY_LATE_S if self._has_relays() else _CALL_S if quick else _LATE_S
         if self._version is None:
-            return _PATH, _CALL_S
-        wait_ms = _QUICK_MS if self._silent else int(_WAIT_MS * (1.0 + _WAIT_SPREAD * self._chance()))
-        late_s = _CALL_S if self._silent else _LATE_S
-        return f"{_PATH}?after={self._version}&wait_ms={wait_ms}", wait_ms / 1000 + late_s
+            return LIST_PATH, _CALL_S
+        if quick:
+            wait_ms = _QUICK_MS
+        else:
+            least_ms = self._wait_ms or (_RELAY_WAIT_MS if self._has_relays() else _WAIT_MS)
+            wait_ms = int(least_ms * (1.0 + _WAIT_SPREAD * self._chance()))
+        return f"{LIST_PATH}?after={self._version}&wait_ms={wait_ms}", wait_ms / 1000 + late_s
 
     async def _ask(self, target: str, limit_s: float) -> bool:
         """Make a call and tell what came of it; say whether the watch may go on."""
-        told: ListUpdate | None = None
+        answer: Answer | None = None
         silent = False
-        moves, version, began = self._moves, self._version, asyncio.get_running_loop().time()
+        loop = asyncio.get_running_loop()
+        moves, version, began = self._moves, self._version, loop.time()
         try:
             async with asyncio.timeout(limit_s):
-                told = self._read(await self._call(target))
-            end = f"version {told.version}, {len(told.entries)} lines{', all' if told.complete else ''}"
+                answer = self._read(await self._call(target))
+            update = answer.update
+            kind = ", all" if update.complete else ""
+            end = f"version {update.version}, {len(update.entries)} lines{kind}"
         except (OSError, ValueError, RecursionError) as fault:  # JSON nested too deep is junk like any other
             end = str(fault) or type(fault).__name__
             silent = isinstance(fault, TimeoutError)
         except Exception:
             log.exception("a call to discovery failed")
             end = "a defect"
-        log.info("discovery: %.100s after %.1f s", end, asyncio.get_running_loop().time() - began)
+        log.info("discovery: %.100s after %.1f s", end, loop.time() - began)
         if moves != self._moves:
             return False  # it is asked elsewhere by now, and what this said means nothing there
         self._silent = silent
-        if told is not None and target != _PATH and version is not None and told.version < version:
+        if answer is None:
+            if self._sources.failed(loop.time()):
+                self._note_switch(end)
+                return True
+            return self._tell(None, silent)
+        if answer.age_s is not None:
+            return self._take_from_relay(answer, answer.age_s)
+        if target != LIST_PATH and version is not None and answer.update.version < version:
             log.warning("discovery went back from version %d: the whole list is asked for", version)
             self._version = None
             await asyncio.sleep(_IDLE_S)  # guards against spinning on a service that always does
             return True
-        return self._tell(told, silent)
+        self._as_of = max(self._as_of, self._arrived_at())
+        self._sources.answered(loop.time(), self._as_of, fresh=True)
+        return self._tell(answer.update, silent)
+
+    def _arrived_at(self) -> float:
+        """When what was read in this step had arrived, at the earliest."""
+        return min(asyncio.get_running_loop().time(), self._unread_since())
+
+    def _take_from_relay(self, answer: Answer, age_s: float) -> bool:
+        """Take a relay's answer unless it is older than what is held; leave the relay if its news is old."""
+        now, as_of = asyncio.get_running_loop().time(), self._arrived_at() - age_s
+        behind = as_of < self._as_of - _AS_OF_ERROR_S
+        went_back = answer.update.version < (self._version or 0) and as_of < self._as_of + _AS_OF_ERROR_S
+        if behind or went_back:
+            if self._sources.answered(now, as_of, fresh=False):
+                self._note_switch(f"its list is of {now - as_of:.1f} s ago, older than the one held")
+            return True
+        taken = self._tell(answer.update, False)
+        if not taken:
+            return False
+        self._as_of, self._tag = max(self._as_of, as_of), answer.tag
+        if self._sources.answered(now, as_of, fresh=age_s <= STALE_S):
+            self._note_switch(f"it last heard from the registry {age_s:.1f} s ago")
+        return True
+
+    def _note_switch(self, why: str) -> None:
+        self._switched = True
+        extra = {"kind": "discovery_source"}
+        log.warning("discovery: now at %s:%d: %.100s", *self._sources.current, why, extra=extra)
 
-    def _tell(self, told: ListUpdate | None, silent: bool) -> bool:
-        if told is not None:
-            self._version = told.version
+    def _tell(self, update: ListUpdate | None, silent: bool) -> bool:
+        if update is not None:
+            self._version, self._tag = update.version, None
             try:
-                self._told(told, False)
+                self._told(update, False)
                 return True
             except Exception:
                 log.exception("the list could not be taken: it is asked for as a whole")
@@ -180,24 +284,32 @@
             self._told(None, silent)
 
     @staticmethod
-    def _read(response: Response | None) -> ListUpdate:
+    def _read(response: Response | None) -> Answer:
         if response is None:
             raise ConnectionResetError("the connection broke")
         if response.status != 200:
             raise ConnectionRefusedError(f"status {response.status}")
-        return parse_list(json.loads(response.body))
+        age = response.header(AGE_HEADER.lower().encode())
+        tag = response.header(TAG_HEADER.lower().encode())
+        return Answer(parse_list(json.loads(response.body)), _age_s(age), tag)
 
     async def _call(self, target: str) -> Response | None:
-        connection = await connect(self._address, _LIST_MOST)
+        connection = await connect(self._sources.current, _LIST_MOST)
         try:
             return await self._exchange(connection, target)
         finally:
             connection.abort()
 
     async def _exchange(self, connection: Connection, target: str) -> Response | None:
-        answer: asyncio.Future[Response | None] = asyncio.get_running_loop().create_future()
-        host = f"{self._address[0]}:{self._address[1]}"
-        head = h11.Request(method="GET", target=target, headers=[("Host", host), ("Connection", "close")])
+        loop = asyncio.get_running_loop()
+        answer: asyncio.Future[Response | None] = loop.create_future()
+        headers = [("Host", "{}:{}".format(*self._sources.current)), ("Connection", "close")]
+        if self._tag is not None and target != LIST_PATH:
+            headers += [
+                ("If-None-Match", self._tag),
+                (AGE_HEADER, str(int(1000 * (loop.time() - self._as_of)))),
+            ]
+        head = h11.Request(method="GET", target=target, headers=headers)
 
         def ended(response: Response | None) -> None:
             if not answer.done():
@@ -205,3 +317,12 @@
 
         connection.request(head, b"", ended)
         return await answer
+
+
+def _age_s(header: str | None) -> float | None:
+    """Read a relay's age; None where there is none, ValueError where it makes no sense."""
+    if header is None:
+        return None
+    if not header.isdecimal() or len(header) > 12:
+        raise ValueError(f"{AGE_HEADER}: whole milliseconds are needed")
+    return int(header) / 1000
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -15,7 +15,7 @@
 import time
 from collections import Counter, deque
 from collections.abc import Callable, Iterable, Iterator, Sequence
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
@@ -63,6 +63,7 @@
 from topazbank.net.endpoint_list import EndpointList, ListUpdate, parse_list
 from topazbank.net.frontend import Call, Frontend, Hooks
 from topazbank.net.orders import Orders
+from topazbank.net.sources import RelayAddress, in_order_of_preference
 from topazbank.net.streams import Budget, Sink, Source
 from topazbank.net.upstream import Address, Exchange, Headers, Response
 from topazbank.views import asked_per_s, servers_view, state_line, zones_view
@@ -173,6 +174,15 @@
     logging: LogConfig = field(default_factory=LogConfig)
     state: StateConfig | None = None  # None: nothing is kept across a crash but the orders
     duties: Terms | None = None  # of the leases of the tier's duties; None: there are none
+    identity: str = ""  # this sidecar's name, by which it spreads over the relays
+    relays: tuple[RelayAddress, ...] = ()  # asked in place of discovery, where there are any
+
+    def sources(self) -> list[Address]:
+        """Where the list of servers is asked for, in order of preference."""
+        if not self.relays:
+            return [self.discovery]
+        identity = self.identity or "{}:{}".format(*self.listen)
+        return in_order_of_preference(self.relays, identity, self.settings.zone)
 
 
 class Sidecar:
@@ -205,9 +215,15 @@
         self._upstream = upstream.Upstream(dial_s, idle_s, half, budget)
         self._known = config.known
         again_s = _UNHEARD_SPANS * settings.rules.ask_within_us / 1e6
-        self._discovery = Discovery(config.discovery, config.known.version, self._told, again_s)
-        hooks = Hooks(self._taken, self._gone, self._is_ready, self._body_ended)
         poll_times = getattr(asyncio.get_running_loop(), "poll_times", None)
+        self._discovery = Discovery(
+            config.sources(),
+            config.known.version,
+            self._told,
+            again_s,
+            unread_since=lambda: poll_times.unread_since if poll_times is not None else math.inf,
+        )
+        hooks = Hooks(self._taken, self._gone, self._is_ready, self._body_ended)
         self.frontend = Frontend(config.listen, half, hooks, settings, config.accept_fd, budget, poll_times)
         self._takes_over = config.accept_fd is not None
         self._listed = asyncio.Event()  # discovery has answered
@@ -301,8 +317,9 @@
 
     def reload(self, config: Config) -> None:
         """Take over what may change while this runs: where discovery is."""
-        log.info("reloaded: discovery at %s:%d", *config.discovery)
-        if self._discovery.move(config.discovery):
+        sources = config.sources()
+        log.info("reloaded: discovery at %s", ", ".join("{}:{}".format(*each) for each in sources)[:200])
+        if self._discovery.move(sources):
             self.handle(ServersListed(ListKind.MOVED))
 
     async def _drain(self) -> None:
@@ -400,6 +417,7 @@
             "connections_to_servers": self._upstream.open_count,
             "answered": _by_status(self._answered + self._answers),
             "state": state_line(self._balancer),
+            "discovery": asdict(self._discovery.status()),
             "cpu_s": round(time.process_time(), 3),
             "log_lines_suppressed": self.flood.suppressed if self.flood is not None else 0,
             "latency_ms": self._latencies.classes() if self._latencies is not None else {},
