Add a relay that fans out discovery's list to many sidecars in the published form

Answers tell by headers the tag of the list and how old the relay's news is; a relay that is behind its caller says so instead of telling old news. Answers up to 8 MiB are read entry by entry (1 MiB before), junk in no more than six times its size.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
+import json
+import tracemalloc
 from typing import Any
 
 import pytest
@@ -11,7 +14,7 @@
 from topazbank.interface import ServerState
 from topazbank.net import discovery as net_discovery
 from topazbank.net.discovery import _IDLE_S, Discovery
-from topazbank.net.endpoint_list import ListUpdate, parse_list
+from topazbank.net.endpoint_list import LIST_MOST_BYTES, ListUpdate, parse_list, read_list
 
 
 def served(*_: object) -> bytes:
@@ -254,3 +257,38 @@
             assert first[0] == second[0]  # it asks for what came since the same list
 
     play(scene())
+
+
+JUNK_BODIES = {
+    "empty objects": b'{"index":1,"snapshot":true,"endpoints":[%s]}' % b",".join([b"{}"] * 1_000_000),
+    "arrays": b'{"index":1,"endpoints":[%s]}' % b",".join([b"[]"] * 1_000_000),
+    "numbers": b'{"index":1,"endpoints":[%s]}' % b",".join([b"1.5"] * 800_000),
+    "deep": b'{"index":1,"endpoints":' + b"[" * 3_000_000,
+    "members": b'{"index":1,"endpoints":[{%s}]}' % b",".join(b'"k%d":1' % n for n in range(200_000)),
+}
+
+
+@pytest.mark.parametrize("kind", JUNK_BODIES)
+def test_junk_takes_no_more_memory_than_a_few_times_its_size(kind: str) -> None:
+    # An answer of 8 MiB may hold 2.8 million empty objects: decoded first they took twenty times that.
+    body = JUNK_BODIES[kind]
+    tracemalloc.start()
+    with contextlib.suppress(ValueError, RecursionError):
+        read_list(body)
+    peak = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    assert peak < 6 * len(body)
+
+
+def test_a_list_of_22000_is_read_within_the_bounds() -> None:
+    entries = [entry(f"s-{number:08x}", since_ms=1) for number in range(22_000)]
+    body = json.dumps({"index": 5, "snapshot": True, "endpoints": entries}).encode()
+    assert len(body) < LIST_MOST_BYTES
+    told = read_list(body)
+    assert told.complete and len(told.entries) == 22_000
+
+
+@pytest.mark.parametrize("body", [b"[]", b'"x"', b"7", b'{"name": 3}', b'{"index": 1}', b"", b"\xff"])
+def test_a_body_that_is_no_list_is_a_value_error(body: bytes) -> None:
+    with pytest.raises(ValueError):
+        read_list(body)
--- a/topazbank/cli.py
+++ b/topazbank/cli.py
@@ -1,5 +1,6 @@
 """The `weirlock` command: run a sidecar, check a configuration, and call a running sidecar's door.
 
+    weirlock relay --config FILE          # a relay of discovery's list (docs/relay.md)
     weirlock run                          # as `python -m topazbank`: RELAY_CONFIG names the configuration
     weirlock check-config FILE            # one line for each error, exit 2; "ok" and 0 where it is good
     weirlock status --door HOST:PORT      # GET /api/status; servers, members, zones, duties likewise
@@ -45,6 +46,10 @@
     arguments = _parser().parse_args(argv)
     if arguments.command == "run":
         return program.main()
+    if arguments.command == "relay":
+        from topazbank.relay import app
+
+        return app.main(arguments.config)
     if arguments.command == "check-config":
         return check_config(arguments.file)
     return call(arguments)
@@ -54,6 +59,8 @@
     parser = argparse.ArgumentParser(prog="weirlock", description="A sidecar load balancer and its door.")
     commands = parser.add_subparsers(dest="command", required=True)
     commands.add_parser("run", help="serve, as python -m topazbank (RELAY_CONFIG names the configuration)")
+    relay = commands.add_parser("relay", help="fan out what discovery tells to many sidecars")
+    relay.add_argument("--config", required=True, help="a TOML file, see docs/relay.md")
     check = commands.add_parser("check-config", help="read a configuration and say all that is wrong with it")
     check.add_argument("file")
     for name, (method, path) in _CALLS.items():
--- a/topazbank/net/discovery.py
+++ b/topazbank/net/discovery.py
@@ -1,13 +1,12 @@
 """The discovery client: watches and fetches of the list of servers.  When to ask is not decided here.
 
-A call goes to the registry or, where relays are configured, to one of them (docs/relay.md).  A relay's answers
-carry an entity tag of the list they lead to and the age of what the relay knows, in the same published form.
+A call goes to the registry or, where relays are configured, to one of them (docs/relay.md).  A relay answers
+in the same form, and its headers tell the entity tag of the list and the age of what the relay knows.
 """
 
 from __future__ import annotations
 
 import asyncio
-import json
 import logging
 import math
 import random
@@ -16,7 +15,7 @@
 
 import h11
 
-from topazbank.net.endpoint_list import ListUpdate, parse_list
+from topazbank.net.endpoint_list import LIST_MOST_BYTES, ListUpdate, read_list
 from topazbank.net.sources import STALE_S, SourceSelector
 from topazbank.net.upstream import Address, Connection, Response, connect
 
@@ -35,7 +34,6 @@
 _QUICK_MS = 100  # the wait of a call after silence: its answer tells at once whether the service is there
 _CALL_S = 2.0  # what a call may take besides: the service itself fails those that stood in its queue so long
 _IDLE_S = 0.1  # between watches that come back at once with nothing, well within the 200 ms of one watch
-_LIST_MOST = 1024 * 1024  # thousands of servers; parsed, junk takes some twenty times its size
 # With several relays a silent one is left for the next within 2.5 s, and a second one after another 1.1 s.
 _RELAY_WAIT_MS = 1_000
 _RELAY_LATE_S = 1.0
@@ -119,6 +117,10 @@
         """Ask for what changed since this version, before anything was asked."""
         self._version = version
 
+    def forget(self) -> None:
+        """Ask for the whole list next: none is held."""
+        self._version = self._tag = None
+
     def follow(self, wanted: bool) -> None:
         """Begin a watch or end it; one that is under way goes on."""
         if not wanted:
@@ -207,7 +209,7 @@
         answer: Answer | None = None
         silent = False
         loop = asyncio.get_running_loop()
-        moves, version, began = self._moves, self._version, loop.time()
+        moves, version, tag, began = self._moves, self._version, self._tag, loop.time()
         try:
             async with asyncio.timeout(limit_s):
                 answer = self._read(await self._call(target))
@@ -230,7 +232,8 @@
                 return True
             return self._tell(None, silent)
         if answer.age_s is not None:
-            return self._take_from_relay(answer, answer.age_s)
+            follows = tag is not None and target != LIST_PATH and not answer.update.complete
+            return self._take_from_relay(answer, answer.age_s, follows)
         if target != LIST_PATH and version is not None and answer.update.version < version:
             log.warning("discovery went back from version %d: the whole list is asked for", version)
             self._version = None
@@ -244,19 +247,26 @@
         """When what was read in this step had arrived, at the earliest."""
         return min(asyncio.get_running_loop().time(), self._unread_since())
 
-    def _take_from_relay(self, answer: Answer, age_s: float) -> bool:
-        """Take a relay's answer unless it is older than what is held; leave the relay if its news is old."""
+    def _is_older(self, version: int, as_of: float) -> bool:
+        """Whether a list as of that time is, or may be, older than the one held."""
+        if as_of < self._as_of - _AS_OF_ERROR_S:
+            return True
+        return version < (self._version or 0) and as_of < self._as_of + _AS_OF_ERROR_S
+
+    def _take_from_relay(self, answer: Answer, age_s: float, follows: bool) -> bool:
+        """Take a relay's answer unless it is older than what is held; leave the relay if its news is old.
+
+        `follows`: it tells what came after the list that is held, as the relay knew that by its tag.
+        """
         now, as_of = asyncio.get_running_loop().time(), self._arrived_at() - age_s
-        behind = as_of < self._as_of - _AS_OF_ERROR_S
-        went_back = answer.update.version < (self._version or 0) and as_of < self._as_of + _AS_OF_ERROR_S
-        if behind or went_back:
+        if not follows and self._is_older(answer.update.version, as_of):
             if self._sources.answered(now, as_of, fresh=False):
                 self._note_switch(f"its list is of {now - as_of:.1f} s ago, older than the one held")
             return True
-        taken = self._tell(answer.update, False)
-        if not taken:
+        self._as_of = max(self._as_of, as_of)
+        if not self._tell(answer.update, False):
             return False
-        self._as_of, self._tag = max(self._as_of, as_of), answer.tag
+        self._tag = answer.tag
         if self._sources.answered(now, as_of, fresh=age_s <= STALE_S):
             self._note_switch(f"it last heard from the registry {age_s:.1f} s ago")
         return True
@@ -291,10 +301,10 @@
             raise ConnectionRefusedError(f"status {response.status}")
         age = response.header(AGE_HEADER.lower().encode())
         tag = response.header(TAG_HEADER.lower().encode())
-        return Answer(parse_list(json.loads(response.body)), _age_s(age), tag)
+        return Answer(read_list(response.body), _age_s(age), tag)
 
     async def _call(self, target: str) -> Response | None:
-        connection = await connect(self._sources.current, _LIST_MOST)
+        connection = await connect(self._sources.current, LIST_MOST_BYTES)
         try:
             return await self._exchange(connection, target)
         finally:
--- a/topazbank/net/endpoint_list.py
+++ b/topazbank/net/endpoint_list.py
@@ -18,6 +18,13 @@
 _STATUSES = {state: status for status, state in _STATES.items()}
 
 
+LIST_MOST_BYTES = 8 * 1024 * 1024  # of an answer: some 50,000 servers
+# A list has one array, and few members to an object; other junk would take many times its size in memory.
+_ARRAYS_BESIDE = 16
+_MEMBERS_MOST = 32
+_JUNK = (ValueError, TypeError, KeyError, AttributeError)  # what reading an entry raises
+
+
 @dataclass(slots=True)
 class ListEntry:
     """A server of the list, with the address that it has for this sidecar."""
@@ -35,6 +42,34 @@
     entries: list[ListEntry]
 
 
+class _Unreadable:
+    """Stands for all entries of a body that could not be read; `why` is of the first."""
+
+    why = ""
+
+
+def read_list(body: bytes) -> ListUpdate:
+    """Decode a body and read it as `parse_list` does; raises ValueError or RecursionError.
+
+    Each entry is read as it is decoded: memory goes to the list and not to what was decoded on the way.
+    """
+    objects = body.count(b"{") + 1
+    if body.count(b"[") > objects + _ARRAYS_BESIDE or body.count(b",") > objects * _MEMBERS_MOST:
+        raise ValueError("a list of servers has one array of objects")
+    unreadable = _Unreadable()
+
+    def entry_or_object(given: dict[str, Any]) -> object:
+        if "endpoints" in given:
+            return given
+        try:
+            return _read_entry(given)
+        except _JUNK as fault:
+            unreadable.why = unreadable.why or _explain(fault, given)
+            return unreadable
+
+    return parse_list(json.loads(body, object_hook=entry_or_object))
+
+
 def parse_list(given: object) -> ListUpdate:
     """Read discovery's form; junk entries are skipped with one log line, a junk list is a ValueError.
 
@@ -47,16 +82,24 @@
         raise ValueError("index: a whole number is needed")
     entries, skipped, first = [], 0, ""
     for entry in given["endpoints"]:
-        try:
-            entries.append(_read_entry(entry))
-        except (ValueError, TypeError, KeyError, AttributeError) as fault:
-            skipped += 1
-            first = first or f"{fault!r:.80}: {entry!r:.120}"
+        if isinstance(entry, ListEntry):
+            entries.append(entry)
+        elif isinstance(entry, _Unreadable):
+            skipped, first = skipped + 1, first or entry.why
+        else:
+            try:
+                entries.append(_read_entry(entry))
+            except _JUNK as fault:
+                skipped, first = skipped + 1, first or _explain(fault, entry)
     if skipped:
         log.warning("%d of %d list entries skipped, first %s", skipped, len(given["endpoints"]), first)
     return ListUpdate(version, given.get("snapshot") is True and not skipped, entries)
 
 
+def _explain(fault: Exception, entry: object) -> str:
+    return f"{fault!r:.80}: {entry!r:.120}"
+
+
 def _read_entry(entry: Mapping[str, Any]) -> ListEntry:
     name, zone, kind = entry["name"], entry.get("zone", ""), entry.get("type", "")
     group, weight, since_ms = entry.get("group", 0), entry.get("weight", 1.0), entry.get("since_ms", 0)
@@ -112,11 +155,12 @@
         return {
             "index": self.version,
             "snapshot": True,
-            "endpoints": [_form(each) for each in self._entries.values()],
+            "endpoints": [entry_form(each) for each in self._entries.values()],
         }
 
 
-def _form(entry: ListEntry) -> dict[str, Any]:
+def entry_form(entry: ListEntry) -> dict[str, Any]:
+    """Return an entry in discovery's form, its keys always in the same order."""
     server = entry.server
     form = {"name": server.server, "zone": server.zone, "type": server.kind, "group": server.cell}
     if entry.address is not None:
--- a/topazbank/net/sources.py
+++ b/topazbank/net/sources.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import hashlib
+import math
 import random
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
@@ -15,6 +16,7 @@
 
 RETURN_AFTER_S = (20.0, 60.0)  # a sidecar tries its preferred relay again after a time drawn from this range
 STALE_S = 2.5  # a relay that last heard of the registry longer ago is left for a fresher one
+ROUND_EVERY_S = 2.0  # where all are stale, how often all are asked: most likely the registry is down
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +49,7 @@
         self._tried = 0  # sources in a row that failed or were stale
         self._freshest: tuple[float, int] | None = None  # of the stale ones: as of when, and which
         self._return_at = 0.0  # when the preferred source is tried again, while another is used
+        self._round_at = -math.inf  # when all were found stale last
 
     @property
     def current(self) -> Address:
@@ -62,11 +65,13 @@
         if fresh:
             self._tried, self._freshest = 0, None
             return False
+        if now < self._round_at + ROUND_EVERY_S:
+            return False
         if self._freshest is None or as_of > self._freshest[0]:
             self._freshest = (as_of, self._at)
         moved = self._move_on(now)
         if not moved:
-            self._tried = 0
+            self._round_at = now
         return moved
 
     def _move_on(self, now: float) -> bool:
--- /dev/null
+++ b/topazbank/relay/changelog.py
@@ -0,0 +1,172 @@
+"""The list that a relay serves and the changes that led to it, in a bounded ring.  Sans-IO.
+
+Each state of the list has a tag, a digest of its content that does not depend on the order of changes.  Two
+relays with the same list have the same tag, whatever their indexes: a caller's tag proves what it lacks.
+"""
+
+from __future__ import annotations
+
+import json
+from collections import OrderedDict, deque
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+import xxhash
+
+from topazbank.interface import ServerState
+from topazbank.net.endpoint_list import ListEntry, ListUpdate, entry_form
+
+CHANGES_MOST = 50_000  # entries in the ring: more than the whole list twice over helps nobody
+STATES_MOST = 4096  # tags and indexes that are remembered
+CACHED_DELTAS = 64  # encoded; most callers lack the same changes
+
+
+@dataclass(frozen=True, slots=True)
+class EncodedEntry:
+    """An entry of the list as it goes out."""
+
+    data: bytes
+    gone: bool  # it tells that the server left
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """The entries that one update changed, by server name."""
+
+    revision: int
+    entries: Mapping[str, EncodedEntry]
+
+
+class ChangeLog:
+    """The current list and the way there.  A revision counts the changes that this process has seen."""
+
+    def __init__(self, changes_most: int = CHANGES_MOST) -> None:
+        self.index: int | None = None  # of the registry; None: no list was heard yet
+        self.revision = 0
+        self._entries: dict[str, bytes] = {}
+        self._digest = 0
+        self._ring: deque[Change] = deque()
+        self._ring_entries = 0
+        self._changes_most = changes_most
+        self._oldest = 0  # the first revision from which the ring leads to the current one
+        self._revisions: OrderedDict[str | int, int] = OrderedDict()  # by tag and by index
+        self._deltas: OrderedDict[int, bytes] = OrderedDict()
+        self._snapshot: bytes | None = None
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    @property
+    def ring_entries(self) -> int:
+        """Entries held in the ring."""
+        return self._ring_entries
+
+    @property
+    def tag(self) -> str:
+        """The entity tag of the current list, in quotes as HTTP has it."""
+        return f'"{self._digest:032x}"'
+
+    def apply(self, update: ListUpdate) -> bool:
+        """Take an answer of discovery; return whether the list has changed by it."""
+        changed = self._changed(update)
+        is_first, is_new_index = self.index is None, self.index != update.version
+        self.index = update.version
+        if changed:
+            self._append(changed)
+        if is_first:
+            self._oldest = self.revision  # what led to the first list is not known
+        self._remember(self.tag)
+        self._remember(update.version)
+        if changed or is_new_index:
+            self._deltas.clear()
+            self._snapshot = None
+        return bool(changed)
+
+    def _changed(self, update: ListUpdate) -> dict[str, EncodedEntry]:
+        """Return the entries that differ from the list; those that left as such."""
+        changed: dict[str, EncodedEntry] = {}
+        for entry in update.entries:
+            self._note(entry, changed)
+        if update.complete:
+            named = {each.server.server for each in update.entries}
+            for name in self._entries.keys() - named:
+                changed[name] = _tombstone(self._entries[name])
+        return changed
+
+    def _note(self, entry: ListEntry, changed: dict[str, EncodedEntry]) -> None:
+        name, encoded = entry.server.server, _encode(entry)
+        if self._entries.get(name) == encoded.data or (encoded.gone and name not in self._entries):
+            changed.pop(name, None)
+        else:
+            changed[name] = encoded
+
+    def _append(self, changed: dict[str, EncodedEntry]) -> None:
+        for name, encoded in changed.items():
+            self._replace(name, encoded)
+        self.revision += 1
+        self._ring.append(Change(self.revision, changed))
+        self._ring_entries += len(changed)
+        while self._ring and self._ring_entries > self._changes_most:
+            dropped = self._ring.popleft()
+            self._ring_entries -= len(dropped.entries)
+            self._oldest = dropped.revision
+
+    def _replace(self, name: str, encoded: EncodedEntry) -> None:
+        known = self._entries.pop(name, None)
+        if known is not None:
+            self._digest ^= xxhash.xxh3_128_intdigest(known)
+        if not encoded.gone:
+            self._entries[name] = encoded.data
+            self._digest ^= xxhash.xxh3_128_intdigest(encoded.data)
+
+    def _remember(self, state: str | int) -> None:
+        self._revisions[state] = self.revision
+        self._revisions.move_to_end(state)
+        while len(self._revisions) > STATES_MOST:
+            self._revisions.popitem(last=False)
+
+    def revision_of(self, tag: str | None, index: int | None) -> int | None:
+        """Return the revision that a caller holds, by its tag or else by its index.
+
+        None: it cannot be brought up to date by changes, and needs the whole list.
+        """
+        revision = self._revisions.get(tag) if tag is not None else None
+        if tag is None and index is not None:
+            revision = self._revisions.get(index)
+        return revision if revision is not None and revision >= self._oldest else None
+
+    def delta(self, revision: int) -> bytes:
+        """Return the body that tells what changed since that revision, in discovery's form."""
+        if (known := self._deltas.get(revision)) is not None:
+            return known
+        merged: dict[str, EncodedEntry] = {}
+        for change in reversed(self._ring):
+            if change.revision <= revision:
+                break
+            for name, entry in change.entries.items():
+                merged.setdefault(name, entry)
+        body = self._body([each.data for each in merged.values()], snapshot=False)
+        self._deltas[revision] = body
+        while len(self._deltas) > CACHED_DELTAS:
+            self._deltas.popitem(last=False)
+        return body
+
+    def snapshot(self) -> bytes:
+        """Return the body that tells the whole list."""
+        if self._snapshot is None:
+            self._snapshot = self._body(self._entries.values(), snapshot=True)
+        return self._snapshot
+
+    def _body(self, entries: Iterable[bytes], snapshot: bool) -> bytes:
+        flag = b"true" if snapshot else b"false"
+        return b'{"index":%d,"snapshot":%s,"endpoints":[%s]}' % (self.index or 0, flag, b",".join(entries))
+
+
+def _encode(entry: ListEntry) -> EncodedEntry:
+    data = json.dumps(entry_form(entry), separators=(",", ":")).encode()
+    return EncodedEntry(data, entry.server.state is ServerState.GONE)
+
+
+def _tombstone(data: bytes) -> EncodedEntry:
+    form = json.loads(data) | {"status": "left"}
+    return EncodedEntry(json.dumps(form, separators=(",", ":")).encode(), gone=True)
