Make a changed line cost what the change holds, not what the list holds

Need: one changed line took 657 us at 200 listed servers and 182 ms at 22,000 (CPU, medians of five trials on a busy machine): far over the 1.6 ms a call may be held up. Cause: Balancer._take_stock rebuilt and sorted all ready servers and all zones for each answer, Upstream.forget_gone looked at every endpoint, and Zones.reckon counted every server. Change: a server enters and leaves the ordered lists by bisection (Zones.place), those that left are kept by name until they may be forgotten, and shares are reckoned from counts by zone and the few that are ejected. Server and Attempt move to servers.py, a policy file of its own, so balancer and locality import each other no more. test_locality's spill test puts its servers on the list of ejected ones, as that is what counts now; its figures are the same.

--- a/tests/test_draw.py
+++ b/tests/test_draw.py
@@ -8,7 +8,6 @@
 import pytest
 from helpers import MS, SAFE, UNSAFE, S, Stage, names, settings
 
-from topazbank.balancer import Server
 from topazbank.interface import (
     Cancel,
     Fail,
@@ -18,6 +17,7 @@
     Outcome,
     Refuse,
 )
+from topazbank.servers import Server
 
 
 def test_the_least_busy_of_the_drawn_wins() -> None:
--- a/tests/test_locality.py
+++ b/tests/test_locality.py
@@ -91,7 +91,9 @@
     spills = []
     for gone in range(8):
         spills.append(round(1.0 - stage.balancer.zones.reckon()[0], 3))
-        stage.balancer.servers[f"a-{gone}"].ejected_until = stage.now + SECOND
+        ejected = stage.balancer.servers[f"a-{gone}"]
+        ejected.ejected_until = stage.now + SECOND
+        stage.balancer.zones.ejected.append(ejected)
         stage.balancer.zones.changed()
     assert spills == [0.0, 0.0, 0.0, 0.02, 0.16, 0.3, 0.44, 0.58]  # 1 - 1.4 x the healthy part
 
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -1,6 +1,6 @@
 """All decisions of a sidecar balancer, by best-of-k with redraw.
 
-Types, events and actions: topazbank/interface.py.  What went wrong without its guards: docs/incidents/.
+Types, events and actions: topazbank/interface.py.  Why its guards are there: docs/decisions.md.
 
 Per request: draw k random distinct ready servers and send to the one with the fewest of this balancer's own
 requests in flight; on a full answer draw again, wider.  Every attempt leaves through `_send` and every final
@@ -20,6 +20,7 @@
 from topazbank.interface import Outcome
 from topazbank.locality import Zone, Zones
 from topazbank.rates import Rate
+from topazbank.servers import Attempt, Flow, Server
 
 DRAWN = 4  # k: counts are mostly small here, where two looks find too little
 REACH = 4.0  # a balancer at rest draws from this many servers: a choice, yet few enough to know them
@@ -86,55 +87,6 @@
 SLANT = 2.0  # the least worthy feel this many times the pressure, the most worthy almost none
 
 
-Flow = tuple[str, str | None]  # the class and tenant of a request
-
-
-@dataclass(slots=True, eq=False)
-class Server:
-    """What this balancer knows of one server."""
-
-    name: str
-    place: float  # chance, drawn once: this balancer's order of the servers
-    zone: str = ""
-    pace: float = 1.0  # how long it takes, relative to the usual
-    state: api.ServerState = api.ServerState.GONE
-    excluded: bool = False  # by the operators: it counts as draining, whatever its state
-    started_at: int | None = None
-    cold_since: int | None = None
-    allowance: float = 0.0  # of a cold server: what may be sent to it now, in requests of mean cost
-    allowance_at: int = 0
-    in_flight: int = 0
-    ghosts: list[int] = field(default_factory=list)  # when each attempt given up on stops counting
-    last_answer_at: int = -1
-    strikes: int = 0
-    ejections: int = 0
-    ejected_until: int | None = None  # None: not ejected
-    turned_away: dict[Flow, tuple[int, int]] = field(default_factory=dict)  # until when, how often in a row
-    trial: Attempt | None = None  # the single attempt that may bring it back
-    doubts: dict[str | None, int] = field(default_factory=dict)  # peers against it by class; 0: proved wrong
-    told: dict[str | None, api.Verdict] = field(default_factory=dict)  # what peers know from here, by class
-    back_at: int | None = None  # when it was readmitted: it eases in, where zones are on
-
-    def is_ready(self) -> bool:
-        return self.state is api.ServerState.READY and not self.excluded
-
-
-@dataclass(slots=True, eq=False)
-class Attempt:
-    """One attempt of a request; it is pending until it has an outcome."""
-
-    index: int
-    server: Server
-    sent_at: int
-    absent_before: int  # how long the balancer had stalled by then
-    answers_before: int  # how many answers had come by then, from all servers
-    pending: bool = True
-    may_have_run: bool = True  # until an outcome proves that it did not
-    started: bool = False
-    felt: bool = False  # whether its lateness was counted as a sign of overload
-    silent: bool = False  # whether its server was found silent by it
-
-
 @dataclass(slots=True, eq=False)
 class Request:
     """A request taken; it is kept until it is answered and its last attempt has ended."""
@@ -170,11 +122,12 @@
         self._now = 0
         self.actions: list[api.Action] = []
         self.servers: dict[str, Server] = {}  # those listed, and those gone of which something is out
-        self._excluded: frozenset[str] = frozenset()  # what the operators have left out, listed or not
+        self._excluded = frozenset[str]()  # what the operators have left out, listed or not
         self._back: dict[Server, None] = {}  # servers back from their exclusion and not used since
         self._left: dict[str, None] = {}  # names that were listed once, the last to leave at the end
-        self.ready: list[Server] = []
+        self._leaving: dict[Server, None] = {}  # gone, but something is out or the operators hold on to it
         self.zones = Zones(settings.locality, settings.zone, self._longest_aim, settings.rules.cold_us)
+        self.ready = self.zones.ready  # in this balancer's own order
         self._doubted = False  # whether peers hold anything against any server
         self._tier_asked: Mapping[str, float] = {}  # of the other balancers, by tenant, a second
         self._requests: dict[int, Request] = {}
@@ -193,7 +146,7 @@
         self._pending = 0  # attempts out
         self._stuck = 0  # of these, at ejected servers
         self._ghosts: list[int] = []  # when each attempt given up on stops counting, soonest first
-        self._ejected: list[Server] = []
+        self._ejected = self.zones.ejected
         self._remote = 1.0  # odds of a server in another zone, as of _remote_at
         self.bearable = 0.0  # what a warm server of mean size serves for this balancer, as of _bearable_at
         self._bearable_at = self._remote_at = -1
@@ -299,25 +252,27 @@
             self._failed_calls, self._silent_calls, self._ask_due = 0, 0, None
         if event.kind not in (api.ListKind.CHANGES, api.ListKind.MOVED):
             listed = {line.server for line in event.servers}
-            for name in self.servers.keys() - listed:
-                self.servers[name].state = api.ServerState.GONE
+            for each in [each for each in self.servers.values() if each.name not in listed]:
+                each.state = api.ServerState.GONE
+                self._update_ready(each)
         for line in event.servers:
             self._server_listed(line)
-        self._take_stock()
-
-    def _take_stock(self) -> None:
-        """Forget who left, and see anew who may be sent to."""
         self._forget_gone()
-        self.ready = [each for each in self.servers.values() if each.is_ready()]
-        self.ready.sort(key=lambda each: each.place)
-        self.zones.take(self.ready)
+
+    def _update_ready(self, server: Server) -> None:
+        """Bring the lists of servers that may be sent to up to date with one that has changed."""
+        zone = server.zone if server.is_ready() else None
+        if server.drawn_in != zone:
+            self.zones.place(server, zone)
+        self._leaving.pop(server, None)
+        if server.state is api.ServerState.GONE:
+            self._leaving[server] = None
 
     def _forget_gone(self) -> None:
         """Forget servers that left: each deploy brings new names.  One that comes back is a new server."""
-        gone = [each for each in self.servers.values() if each.state is api.ServerState.GONE]
-        for each in gone:
+        for each in list(self._leaving):
             if not each.in_flight and not each.excluded:
-                del self.servers[each.name]
+                del self.servers[each.name], self._leaving[each]
                 self._left[each.name] = None
                 if len(self._left) > LEFT_KNOWN:
                     del self._left[next(iter(self._left))]
@@ -342,6 +297,7 @@
             self._turned_cold(server, line.started_at)
             if server.ejected_until is not None and line.state is api.ServerState.READY:
                 self._readmit(server)  # what the old process did is history
+        self._update_ready(server)
 
     def _exclusion_asked(self, event: api.ExclusionAsked) -> None:
         """Leave a server out or use it again; a name that was never listed is passed over in silence."""
@@ -350,10 +306,7 @@
             self._exclude(self._excluded | asked if event.excluded else self._excluded - asked)
 
     def _exclude(self, names: frozenset[str]) -> None:
-        """Leave out just these servers.  One that is used again was restarted meanwhile: it is cold.
-
-        It is so from the start that the list told of since, or else from now on: the list may be late.
-        """
+        """Leave out just these servers.  One that is used again was restarted meanwhile: it is cold."""
         back, self._excluded = self._excluded - names, names
         for server in self.servers.values():
             if server.name in names and not server.excluded:
@@ -365,7 +318,8 @@
                     self._turned_cold(server, self._now)
                 if server.ejected_until is not None:
                     self._readmit(server)
-        self._take_stock()
+            self._update_ready(server)
+        self._forget_gone()
         self.actions.append(api.Exclude(names))
 
     def _request_arrived(self, event: api.RequestArrived) -> None:
@@ -469,12 +423,7 @@
             self._mean_load += (load - self._mean_load) * (1.0 - math.exp(-lapse / span))
 
     def _size_window(self, load: int) -> None:
-        """Shrink or grow the window by how far the typical answer is from the allowed level.
-
-        In flight is what the window bounds, not arrivals: a surge then meets it at once, and slower servers
-        let in less by themselves.  By Little's law, what is answered at this rate within the allowed level
-        needs rate times time in flight; below that the window never shrinks, or late news would shut it.
-        """
+        """Shrink or grow the window by how far the typical answer is from the allowed level."""
         if self._now - self._begun < YOUNG_AIMS * self._longest_aim:
             return  # its load is averaged from nothing, and a few late answers would shut it out of the fleet
         stretch = self._stretch()
@@ -655,9 +604,8 @@
         limits = self._settings.limits
         if request.answered or self._now >= request.answer_by:
             return False  # rule 1: nothing after the final answer, nothing that cannot be answered in time
-        if len(request.attempts) >= limits.max_attempts or not self._may_run_again(request):
-            return False  # rule 2
-        if not limits.second_copies and request.is_out():
+        beside = not limits.second_copies and request.is_out()
+        if beside or len(request.attempts) >= limits.max_attempts or not self._may_run_again(request):
             return False  # rule 2
         if not server.is_ready():
             return False  # rule 3: at once on hearing, without use of the grace
@@ -667,11 +615,9 @@
             server.allowance -= request.cost
         attempt = Attempt(len(request.attempts), server, self._now, self._absent_us, self._answers)
         request.attempts.append(attempt)
-        server.in_flight += 1
-        self._pending += 1
+        server.in_flight, self._pending = server.in_flight + 1, self._pending + 1
         if server.ejected_until is not None:
-            server.trial = attempt
-            self._stuck += 1
+            server.trial, self._stuck = attempt, self._stuck + 1
         if request.answer_by != OPEN_UNTIL:
             self._schedule(self._now + self._patience(request, server), request.ident, attempt.index)
         self.actions.append(api.Send(request.ident, server.name, request.answer_by))
@@ -798,11 +744,7 @@
         return int(max(usual, PATIENCE_AIMS * request.kind.aim_us, self._settings.tick_us))
 
     def _overdue(self, request: Request, attempt: Attempt) -> None:
-        """An attempt takes far longer than usual.
-
-        Guards against servers that take work and answer nothing, long before time-outs would tell.  A server
-        that answered anything since is slow, not silent; if others were as silent, all are overloaded.
-        """
+        """An attempt takes far longer than usual: its server may be silent, slow or overloaded."""
         server = attempt.server
         silent, answered = server.last_answer_at <= attempt.sent_at, self._answers - attempt.answers_before
         if self._now == self._back_at:  # its answer may be among what came meanwhile
@@ -902,10 +844,7 @@
             self.actions.append(api.Judged(server.name, verdict, name, max(evidence, 1)))
 
     def _verdicts_heard(self, event: api.VerdictsHeard) -> None:
-        """Take what live peers hold: a doubted server is drawn less, and an own failure counts for one more.
-
-        Own evidence wins: no peer's word ejects, refuses or readmits, and an own answer ends the doubt.
-        """
+        """Take what live peers hold: a doubted server is drawn less, an own failure counts for one more."""
         heard: dict[str, dict[str | None, int]] = {}
         for each in event.verdicts:
             old = self.servers[each.server].doubts if each.server in self.servers else {}
@@ -978,10 +917,7 @@
             self._zone_back(self.zones.probed(server, event.outcome is Outcome.DELIVERED))
 
     def _trial_due(self, request: Request) -> Server | None:
-        """An ejected server comes back by one trial at a time, with a request that may be repeated.
-
-        One back from its exclusion is used by the next: its odds are poor where requests are few.
-        """
+        """The server that this request is to try: an ejected one, or one back from its exclusion."""
         for server in self._back:
             if server.is_ready() and self._eligible(server, request):
                 del self._back[server]
@@ -1017,11 +953,7 @@
         return rules.cold_from + (1.0 - rules.cold_from) * age / rules.cold_us
 
     def _cold_room(self, server: Server, cost: float) -> bool:
-        """Whether a cold server's budget has room for a request of this cost: it guards rule 4.
-
-        It fills with a part of what would push the server over, judged by what this balancer's warm servers
-        serve for it; all balancers doing so stay under the whole.
-        """
+        """Whether a cold server's budget has room for a request of this cost: it guards rule 4."""
         if not self._is_cold(server):
             return True
         rules = self._settings.rules
--- a/topazbank/locality.py
+++ b/topazbank/locality.py
@@ -6,15 +6,13 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left, insort
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
 
 from topazbank.interface import Locality, ZoneOrder
 from topazbank.rates import Rate
-
-if TYPE_CHECKING:
-    from topazbank.balancer import Server
+from topazbank.servers import Server
 
 FELT_AIMS = 1.0  # what a zone answers and fails is counted over this many of the longest aim
 BACK_AIMS = 0.5  # first wait before a zone left is tried again, in longest aims; it doubles with each failure
@@ -24,6 +22,10 @@
 BACK_PROBES = 2  # probes answered in a row that bring a zone back
 
 
+def _place(server: Server) -> float:
+    return server.place
+
+
 @dataclass(slots=True, eq=False)
 class Zone:
     """What this balancer knows of one zone."""
@@ -53,28 +55,39 @@
         self._aim, self._ramp_us = longest_aim, given.ramp_us or max(cold_us, 1)
         self.by_name: dict[str, Zone] = {}
         self._orders: Mapping[str, ZoneOrder] = {}
-        self._levels: list[Sequence[Server]] = [[], [], []]  # own zone, own region, all: the ready servers
+        self.ready: list[Server] = []  # all that may be sent to, by their places
+        self.ejected: list[Server] = []  # listed and ejected, ready or not
+        self._levels: list[list[Server]] = [[], [], self.ready]  # the ready ones: own zone, own region, all
         self._shares: list[float] | None = None  # of requests for the first two; None: to be reckoned
         self.panicking = False
         self.probing: bool | None = None  # whether this balancer probes for the tier; None: each for itself
         self._alone_at = 0  # until when one that does not probe waits for who does
 
-    def take(self, ready: Sequence[Server]) -> None:
-        """Take the servers that may be sent to; zones without any are forgotten."""
-        names, span = {each.zone for each in ready}, FELT_AIMS * self._aim
-        self.by_name = {name: self.by_name[name] for name in self.by_name if name in names}
-        for name in sorted(names - self.by_name.keys()):
-            self.by_name[name] = Zone(name, Rate(span), self._orders.get(name))
-        for zone in self.by_name.values():
-            inside = {each.name for each in ready if each.zone == zone.name}
-            zone.listed, zone.failing = len(inside), zone.failing & inside
-            zone.answering = {name: at for name, at in zone.answering.items() if name in inside}
-        regions, region = self.given.regions, self.given.regions.get(self.here)
-        near = [each for each in ready if self.here and each.zone == self.here]
-        around = [each for each in ready if region and regions.get(each.zone) == region]
-        self._levels = [near, around, ready]
+    def place(self, server: Server, name: str | None) -> None:
+        """Count a server as one that may be sent to, in that zone; None: as none.  Forget empty zones."""
+        old, server.drawn_in = server.drawn_in, name
+        if old is not None:
+            zone = self.by_name[old]
+            zone.listed -= 1
+            zone.failing.discard(server.name)
+            zone.answering.pop(server.name, None)
+            if not zone.listed:
+                del self.by_name[old]
+            for at in self._levels_of(old):
+                del self._levels[at][bisect_left(self._levels[at], server.place, key=_place)]
+        if name is not None:
+            if name not in self.by_name:
+                self.by_name[name] = Zone(name, Rate(FELT_AIMS * self._aim), self._orders.get(name))
+            self.by_name[name].listed += 1
+            for at in self._levels_of(name):
+                insort(self._levels[at], server, key=_place)
         self.changed()
 
+    def _levels_of(self, zone: str) -> list[int]:
+        region = self.given.regions.get(self.here)
+        inside = (self.here and zone == self.here, region and self.given.regions.get(zone) == region, True)
+        return [at for at in range(3) if inside[at]]
+
     def changed(self) -> None:
         """Servers were ejected or readmitted, or zones left: the shares are to be reckoned anew."""
         self._shares = None
@@ -94,10 +107,7 @@
         return zone if self._is_lost(now, zone) else None
 
     def _is_lost(self, now: int, zone: Zone) -> bool:
-        """Whether a zone fails as a whole while what stays open without it reaches the panic threshold.
-
-        Several of its servers must fail (one, where it has one or peers say so), and most that are used.
-        """
+        """Whether a zone fails as a whole while what stays open without it reaches the panic threshold."""
         if not zone.is_kept() or zone.order is ZoneOrder.PIN or not self._fails(now, zone):
             return False
         others = [each for each in self.by_name.values() if each is not zone and each.is_kept()]
@@ -135,10 +145,7 @@
         return zone if zone is not None and zone.left_at is not None and now >= zone.retry_at else None
 
     def due(self, now: int) -> Zone | None:
-        """A zone that was left and may be tried with one request; its next trial is put off.
-
-        Where another sidecar probes for the tier, only once that one has said nothing for a long time.
-        """
+        """A zone that was left and may be tried with one request; its next trial is put off."""
         waits = self.probing is not None and now < self._alone_at
         for zone in () if waits else self.doubtful():
             left = zone.left_at is not None and zone.order is not ZoneOrder.DRAIN
@@ -215,10 +222,12 @@
     def reckon(self) -> list[float]:
         """The parts of the requests that the own zone and the own region bear."""
         if self._shares is None:
-            kept = {each.name for each in self.by_name.values() if each.is_kept()}
-            sound = [sum(e.ejected_until is None and e.zone in kept for e in level) for level in self._levels]
-            drained = {each.name for each in self.by_name.values() if each.order is ZoneOrder.DRAIN}
-            sizes = [sum(each.zone not in drained for each in level) for level in self._levels]
+            sound, sizes = [0, 0, 0], [0, 0, 0]
+            for zone in self.by_name.values():
+                lost = sum(each.drawn_in == zone.name for each in self.ejected)
+                for at in self._levels_of(zone.name):
+                    sound[at] += (zone.listed - lost) * zone.is_kept()
+                    sizes[at] += zone.listed * (zone.order is not ZoneOrder.DRAIN)
             self.panicking = sound[-1] < self.given.panic * sizes[-1]
             parts = [good / max(size, 1) for good, size in zip(sound, sizes, strict=True)]
             wide = 0.0 if self.panicking else self.given.overprovision
--- a/topazbank/net/upstream.py
+++ b/topazbank/net/upstream.py
@@ -544,6 +544,7 @@
         self._open: set[Connection] = set()  # connections, in use or idle
         self._closed = False
         self._endpoints: dict[str, Endpoint] = {}
+        self._gone: dict[str, None] = {}  # those that left, and may be forgotten
         self._excluded: frozenset[str] = frozenset()
 
     @property
@@ -562,6 +563,8 @@
         known = self._endpoints.get(name)
         if known is None:
             self._endpoints[name] = Endpoint(name, address or _NOWHERE, started_at, state)
+            if state is ServerState.GONE:
+                self._gone[name] = None
             return
         address = address or known.address
         if (known.address, known.started_at) != (address, started_at):
@@ -571,6 +574,9 @@
             for exchange in list(known.dialling):
                 exchange.end(Outcome.UNSENT)  # it would be written to the process or place that was
         known.state = state
+        self._gone.pop(name, None)
+        if state is ServerState.GONE:
+            self._gone[name] = None
         if state is not ServerState.READY:
             self._withdraw(known)
 
@@ -579,13 +585,15 @@
         for endpoint in self._endpoints.values():
             if endpoint.name not in names:
                 endpoint.state = ServerState.GONE
+                self._gone[endpoint.name] = None
                 self._withdraw(endpoint)
 
     def forget_gone(self) -> None:
         """Forget servers that left, once nobody sends to them any more; what is out keeps its endpoint."""
-        for endpoint in list(self._endpoints.values()):
-            if endpoint.state is ServerState.GONE and not endpoint.dialling and not endpoint.idle:
-                del self._endpoints[endpoint.name]
+        for name in list(self._gone):
+            endpoint = self._endpoints[name]
+            if not endpoint.dialling and not endpoint.idle:
+                del self._endpoints[name], self._gone[name]
 
     def _withdraw(self, endpoint: Endpoint) -> None:
         """End what was not written to a server that takes nothing new: a slow dial may outlast the grace."""
--- a/topazbank/views.py
+++ b/topazbank/views.py
@@ -5,8 +5,9 @@
 from collections import Counter
 from typing import Any
 
-from topazbank.balancer import Balancer, Server
+from topazbank.balancer import Balancer
 from topazbank.locality import Zone, Zones
+from topazbank.servers import Server
 
 
 def zones_view(zones: Zones, now: int) -> dict[str, Any]:
