--- a/bench/earlier.py
+++ b/bench/earlier.py
@@ -10,7 +10,8 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
-sys.path.insert(0, str(ROOT / "tests" / "cluster"))  # the harness and the stand-ins
+for part in ("tests/cluster", "tests"):  # the harness and the stand-ins
+    sys.path.insert(0, str(ROOT / part))
 
 
 @contextlib.contextmanager
