--- a/bench/scale.py
+++ b/bench/scale.py
@@ -2,8 +2,8 @@
 
     .venv/bin/python bench/scale.py [--edge] [--peers] [--fanout] [--sizes 100,400,1600]
 
-Without a choice all three are played, in some five minutes; docs/CAPACITY.md quotes a run.  Real processes for the
-registry and the relays, hollow sidecars that share processes, at most a few dozen processes in all.
+Without a choice all three are played, in some five minutes; docs/CAPACITY.md quotes a run.  The registry and
+the relays are processes, hollow sidecars share some: a few dozen in all.
 """
 
 from __future__ import annotations
--- a/bench/scale_hollow.py
+++ b/bench/scale_hollow.py
@@ -46,7 +46,7 @@
 
 
 async def run_registry(port: int, servers: int) -> None:
-    """Hold a list; `change N` changes N entries one by one, `calls` tells what was asked, at the end of input ends."""
+    """Hold a list until the input ends: `change N` changes N entries one by one, `calls` tells the calls."""
     registry = Registry([entry(number) for number in range(servers)], index=1)
     registry._port = port
     await registry.start()
