Split the sidecar into engine, proxy, operations, clock, timers and configuration

net/sidecar.py held start-up, operators' calls, state, peers, events and requests in one class of 700 lines. Behaviour is as before; the tests follow the new places and are unchanged otherwise.

--- a/bench/scale_edge.py
+++ b/bench/scale_edge.py
@@ -20,8 +20,9 @@
 from scale_fit import Series
 
 from topazbank.interface import ListKind
+from topazbank.net.config import Config
 from topazbank.net.endpoint_list import ListUpdate, parse_list, read_list
-from topazbank.net.sidecar import Config, Sidecar
+from topazbank.net.sidecar import Sidecar
 
 TRIALS = 5
 CHANGES = 60  # a trial
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -15,8 +15,9 @@
 from helpers import settings
 
 from topazbank.interface import Action, Event
+from topazbank.net.config import Config
 from topazbank.net.endpoint_list import parse_list
-from topazbank.net.sidecar import Config, Sidecar
+from topazbank.net.sidecar import Sidecar
 from topazbank.net.upstream import Address
 
 PATIENCE_S = 20.0  # for what must come; no test takes it as proof of anything
@@ -196,13 +197,13 @@
     def hear(self) -> list[Event]:
         """From now on, the events that the balancer is given."""
         heard: list[Event] = []
-        real = self.sidecar._balancer.handle
+        real = self.sidecar._engine.balancer.handle
 
         def handle(now: int, event: Event) -> list[Action]:
             heard.append(event)
             return real(now, event)
 
-        self.sidecar._balancer.handle = handle  # type: ignore[method-assign]
+        self.sidecar._engine.balancer.handle = handle  # type: ignore[method-assign]
         return heard
 
     def move_discovery(self, address: Address) -> None:
@@ -237,7 +238,7 @@
         config = replace(config, orders=orders, mgmt=("127.0.0.1", 0))
     made = World(config, servers, discovery)
     running = asyncio.create_task(made.sidecar.run(made.stop))
-    await until(lambda: made.sidecar._balancer._begun >= 0)
+    await until(lambda: made.sidecar._engine.balancer._begun >= 0)
     try:
         yield made
         if drained:
@@ -253,8 +254,8 @@
 
 def assert_nothing_owed(sidecar: Sidecar) -> None:
     """Module, driver and sockets agree that all is over."""
-    balancer, upstream = sidecar._balancer, sidecar._upstream
-    assert not sidecar._live and not sidecar._by_call
+    balancer, upstream = sidecar._engine.balancer, sidecar._upstream
+    assert not sidecar.proxy.in_flight and not sidecar.proxy.by_call
     assert not balancer._requests and balancer._pending == 0 and balancer._stuck == 0
     assert [each.in_flight for each in balancer.servers.values() if each.in_flight] == []
     assert upstream.open_count == 0 and sidecar.frontend.is_empty()
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -178,7 +178,7 @@
             await until(w.sent)
             writer.close()
             await until(lambda: w.servers[0].closed == 1)
-            assert not w.sidecar._live  # the late outcome reached the module, and nothing is kept
+            assert not w.sidecar.proxy.in_flight  # the late outcome reached the module, and nothing is kept
 
     play(scene())
 
@@ -445,6 +445,6 @@
                 writer.write(request("pay", body=b"x", budget="600"))
                 await until(lambda: w.sidecar._upstream.open_count == 1)
                 writer.close()
-                await until(lambda: not w.sidecar._live and not w.sidecar._upstream.open_count)
+                await until(lambda: not w.sidecar.proxy.in_flight and not w.sidecar._upstream.open_count)
 
     play(scene())
--- a/tests/test_close_range.py
+++ b/tests/test_close_range.py
@@ -99,7 +99,7 @@
             assert again - fell_silent <= SILENT_S - 2.0  # time for the service's queue
             assert third - fell_silent <= SILENT_S  # and the grace is left where that is silent too
             w.discovery.say(43, [w.servers[0].entry(status="leaving")])
-            await until(lambda: not w.sidecar._balancer.ready)
+            await until(lambda: not w.sidecar._engine.balancer.ready)
 
     on_clock(scene())
 
@@ -127,7 +127,7 @@
             again, third = w.discovery.called_at[-2:]
             assert again - fell_silent <= SILENT_S - 2.0 and third - fell_silent <= SILENT_S
             w.discovery.say(43, [w.servers[0].entry(status="leaving")])
-            await until(lambda: not w.sidecar._balancer.ready)
+            await until(lambda: not w.sidecar._engine.balancer.ready)
 
     on_clock(scene())
 
@@ -148,7 +148,7 @@
             assert set(moved.targets) == {"/registry/instances"}  # nothing is known there yet
             assert moved.called_at[-1] - began <= MOVED_S + GRACE_S - 0.3
             moved.say(7, [w.servers[1].entry()], snapshot=True)
-            await until(lambda: "s-0" not in w.sidecar._balancer.servers)
+            await until(lambda: "s-0" not in w.sidecar._engine.balancer.servers)
             await moved.end()
 
     on_clock(scene())
@@ -212,7 +212,7 @@
 
 
 def is_over(w: World) -> Callable[[], bool]:
-    return lambda: not w.sidecar._live and not w.sidecar._balancer._requests
+    return lambda: not w.sidecar.proxy.in_flight and not w.sidecar._engine.balancer._requests
 
 
 async def over_soon(w: World) -> None:
@@ -326,7 +326,7 @@
             await asyncio.sleep(0.25)
             client.leave(how)
             began = asyncio.get_running_loop().time()
-            await until(lambda: not w.sidecar._by_call)
+            await until(lambda: not w.sidecar.proxy.by_call)
             assert asyncio.get_running_loop().time() - began < LEAVES_S
             (there,) = [each for each in w.servers if each.requests]
             if may_cancel:
@@ -347,7 +347,7 @@
     await server.start()
     async with world(drained=True, **changes) as w:
         w.discovery.say(42, [server.entry()])
-        await until(lambda: w.sidecar._balancer.ready)
+        await until(lambda: w.sidecar._engine.balancer.ready)
         yield w, server
     await server.end()
 
@@ -459,7 +459,7 @@
                 w.discovery.say(42, places, snapshot=True)
                 await until(lambda: w.sidecar._upstream._endpoints["s-0"].address == address)
                 w.discovery.say(43, [w.servers[1].entry(status="leaving")])
-                await until(lambda: len(w.sidecar._balancer.ready) == 1)
+                await until(lambda: len(w.sidecar._engine.balancer.ready) == 1)
                 asking = asyncio.create_task(w.ask(kind="pay", body=b"x"))
                 await until(lambda: w.sidecar._upstream._dials)
                 heard = w.hear()
@@ -470,7 +470,7 @@
                 assert (await asking)[0] == 200 and not w.servers[0].requests
                 ended = [each for each in heard if isinstance(each, AttemptEnded)]
                 assert [each.outcome for each in ended] == [Outcome.UNSENT, Outcome.DELIVERED]
-                assert w.sidecar._balancer.servers["s-0"].strikes == 0  # it did nothing wrong
+                assert w.sidecar._engine.balancer.servers["s-0"].strikes == 0  # it did nothing wrong
 
     on_clock(scene())
 
@@ -492,7 +492,7 @@
                 w.discovery.say(42, [each.entry(status="leaving") for each in w.servers])
                 assert (await asking)[0] == 503
                 assert len(w.sent()) == before
-                assert w.sidecar._live == {}
+                assert w.sidecar.proxy.in_flight == {}
 
     on_clock(scene())
 
@@ -514,7 +514,7 @@
                 assert (await w.ask(kind="pay", body=b"x"))[0] == 200
             ended = [each.outcome for each in heard if isinstance(each, AttemptEnded)]
             assert set(ended) == {Outcome.UNSENT, Outcome.DELIVERED}
-            w.sidecar._probe(Probe("s-0"))
+            w.sidecar.proxy.probe(Probe("s-0"))
             assert isinstance(heard[-1], ProbeEnded) and heard[-1].outcome is Outcome.UNSENT
 
     on_clock(scene())
@@ -528,9 +528,9 @@
             asking = asyncio.create_task(w.ask(kind="pay", body=b"x", budget="1.5"))
             await until(w.sent)
             w.discovery.say(42, [server.entry(status="left")])
-            await until(lambda: not w.sidecar._balancer.ready)
+            await until(lambda: not w.sidecar._engine.balancer.ready)
             w.discovery.say(43, [server.entry()])
-            await until(lambda: w.sidecar._balancer.ready)
+            await until(lambda: w.sidecar._engine.balancer.ready)
             if outcome == "answer":
                 server.writers[0].write(answer(200, b"served"))
             elif outcome == "break":
@@ -552,12 +552,12 @@
             asking = asyncio.create_task(w.ask(kind="pay", body=b"x"))
             await until(w.sent)
             if change == "excluded":
-                w.sidecar.handle(ExclusionAsked("s-0", True))
+                w.sidecar._engine.handle(ExclusionAsked("s-0", True))
             elif change == "missing":
                 w.discovery.say(42, [], snapshot=True)
             else:
                 w.discovery.say(42, [server.entry(status=change)])
-            await until(lambda: not w.sidecar._balancer.ready)
+            await until(lambda: not w.sidecar._engine.balancer.ready)
             server.writers[0].write(answer(200, b"served"))
             assert (await asking)[2] == b"served"
             await until(lambda: w.sidecar._upstream.open_count == 0)  # it is not kept for another
@@ -706,7 +706,7 @@
             client = Client(w)
             client.send(request(budget="1.0"))
             await until(w.sent)
-            (there,), (live,) = w.servers[0].writers, w.sidecar._live.values()
+            (there,), (live,) = w.servers[0].writers, w.sidecar.proxy.in_flight.values()
             there.write(head + piece * 20)
             await until(lambda: live.streamed is not None)
             client.leave("reset")
@@ -810,8 +810,8 @@
                         each.address = address
                 client = Client(w)
                 client.send(request(budget="5.0"))
-                await until(lambda: w.sidecar._live)
-                (live,), balancer = w.sidecar._live.values(), w.sidecar._balancer
+                await until(lambda: w.sidecar.proxy.in_flight)
+                (live,), balancer = w.sidecar.proxy.in_flight.values(), w.sidecar._engine.balancer
                 (asked,) = balancer._requests.values()
                 if first == "dialling":
                     for name, each in w.sidecar._upstream._endpoints.items():
@@ -820,7 +820,7 @@
                     await until(w.sent)
                 seen, balancer.actions = len(w.sent()), []
                 balancer._place(asked)  # a second copy, as once the first is overdue
-                w.sidecar._carry_out(balancer.actions)
+                w.sidecar._engine.execute(balancer.actions)
                 await until(lambda: len(w.sent()) > seen)
                 name = asked.attempts[1].server.name
                 (there,) = [each for each in w.servers if each.name == name]
@@ -881,7 +881,7 @@
 ) -> None:
     async def scene() -> None:
         async with world(hung, hung, drained=True) as w:
-            real, failed = w.sidecar._balancer._finish, list[int]()
+            real, failed = w.sidecar._engine.balancer._finish, list[int]()
 
             def finish(given: Any) -> None:
                 if len(failed) == 1:
@@ -892,13 +892,13 @@
 
             asking = [asyncio.create_task(w.ask(kind="pay", body=b"x", budget="1.0")) for _ in range(4)]
             await until(lambda: len(w.sent()) == 4)
-            monkeypatch.setattr(w.sidecar._balancer, "_finish", finish)
+            monkeypatch.setattr(w.sidecar._engine.balancer, "_finish", finish)
             began = asyncio.get_running_loop().time()
             stall(2.0)  # all fall due in one event
             assert [(await each)[0] for each in asking] == [500] * 4
             assert asyncio.get_running_loop().time() - began < 2.2 and len(failed) >= 3
             assert is_over(w)()
-            monkeypatch.setattr(w.sidecar._balancer, "_finish", real)
+            monkeypatch.setattr(w.sidecar._engine.balancer, "_finish", real)
 
     on_clock(scene())
 
@@ -908,16 +908,16 @@
 ) -> None:
     async def scene() -> None:
         async with world(hung, drained=True) as w:
-            real = w.sidecar._balancer._timer_fired
+            real = w.sidecar._engine.balancer._timer_fired
 
             def fails() -> None:
-                monkeypatch.setattr(w.sidecar._balancer, "_timer_fired", real)
+                monkeypatch.setattr(w.sidecar._engine.balancer, "_timer_fired", real)
                 raise ZeroDivisionError
 
             await until(lambda: w.discovery.targets)
             heard = w.hear()
-            monkeypatch.setattr(w.sidecar._balancer, "_timer_fired", fails)
-            w.sidecar.handle(TimerFired("agenda"))
+            monkeypatch.setattr(w.sidecar._engine.balancer, "_timer_fired", fails)
+            w.sidecar._engine.handle(TimerFired("agenda"))
             await asyncio.sleep(0.1)
             assert [type(each) for each in heard] == [TimerFired, TimerFired]
 
@@ -933,13 +933,13 @@
             def fails(_: object) -> None:
                 raise ZeroDivisionError
 
-            real = w.sidecar._balancer._place
-            monkeypatch.setattr(w.sidecar._balancer, "_place", fails)
+            real = w.sidecar._engine.balancer._place
+            monkeypatch.setattr(w.sidecar._engine.balancer, "_place", fails)
             reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
             writer.write(request("pay", body=bytes(100_000))[:-1])  # its body is still coming: it has no time
             assert (await read_answer(reader))[0] == 500
             assert is_over(w)()
-            monkeypatch.setattr(w.sidecar._balancer, "_place", real)
+            monkeypatch.setattr(w.sidecar._engine.balancer, "_place", real)
             writer.close()
 
     on_clock(scene())
@@ -950,16 +950,16 @@
 ) -> None:
     async def scene() -> None:
         async with world(hung, drained=True) as w:
-            real = w.sidecar._balancer._keep_beat
+            real = w.sidecar._engine.balancer._keep_beat
 
             def fails() -> None:
-                monkeypatch.setattr(w.sidecar._balancer, "_keep_beat", real)
+                monkeypatch.setattr(w.sidecar._engine.balancer, "_keep_beat", real)
                 raise ZeroDivisionError
 
-            monkeypatch.setattr(w.sidecar._balancer, "_keep_beat", fails)
+            monkeypatch.setattr(w.sidecar._engine.balancer, "_keep_beat", fails)
             assert (await w.ask())[0] == 500  # it was sent by then, and then given up
             await until(is_over(w))
-            assert sum(each.in_flight for each in w.sidecar._balancer.servers.values()) == 0
+            assert sum(each.in_flight for each in w.sidecar._engine.balancer.servers.values()) == 0
 
     on_clock(scene())
 
@@ -969,20 +969,20 @@
 ) -> None:
     async def scene() -> None:
         async with world(served, drained=True, orders=tmp_path) as w:
-            real, failed = w.sidecar._orders.read, list[bool]()
+            real, failed = w.sidecar.operations._orders.read, list[bool]()
 
             def fails() -> Any:
-                monkeypatch.setattr(w.sidecar._orders, "read", real)
+                monkeypatch.setattr(w.sidecar.operations._orders, "read", real)
                 failed.append(True)
                 raise ZeroDivisionError
 
-            monkeypatch.setattr(w.sidecar._orders, "read", fails)
+            monkeypatch.setattr(w.sidecar.operations._orders, "read", fails)
             with told_to_the_loop() as faults:
                 await until(lambda: failed)
                 await asyncio.sleep(0)
             assert [type(each) for each in faults] == [ZeroDivisionError]
             Orders(tmp_path).exclude("s-0")  # as the other process of an upgrade may
-            await until(lambda: not w.sidecar._balancer.ready)
+            await until(lambda: not w.sidecar._engine.balancer.ready)
 
     on_clock(scene())
 
@@ -994,11 +994,11 @@
         async with world(hung, drained=True, limits=limits) as w:
             asking = asyncio.create_task(w.ask(kind="pay", body=b"x", budget="1.5"))
             await until(w.sent)
-            w.sidecar._give_up(next(iter(w.sidecar._live)))
+            w.sidecar.proxy.give_up(next(iter(w.sidecar.proxy.in_flight)))
             assert (await asking)[0] == 500
             if not may_cancel:  # what is whole at a server is not called off there: it ends at its time
                 await asyncio.sleep(1.0)
-                assert w.servers[0].closed == 0 and w.sidecar._live
+                assert w.servers[0].closed == 0 and w.sidecar.proxy.in_flight
             await until(is_over(w))
             await until(lambda: w.servers[0].closed == 1)
 
@@ -1011,12 +1011,12 @@
             reader, writer = await asyncio.open_connection(*w.sidecar.frontend.address)
             writer.write(request())
             await until(w.sent)
-            (call,) = w.sidecar._by_call
+            (call,) = w.sidecar.proxy.by_call
             call.answer(200, [(b"X-Bad", b"\n")], b"")
             with contextlib.suppress(ConnectionError):
                 assert await reader.read() == b""
             await until(lambda: not w.sidecar.frontend.connections)
-            w.sidecar._give_up(next(iter(w.sidecar._live)))
+            w.sidecar.proxy.give_up(next(iter(w.sidecar.proxy.in_flight)))
             writer.close()
 
     on_clock(scene())
@@ -1046,7 +1046,7 @@
             monkeypatch.setattr(whose, what, real)
             seen = len(w.discovery.targets)
             w.discovery.say(43, [w.servers[0].entry(status="leaving")], snapshot=True)
-            await until(lambda: not w.sidecar._balancer.ready)
+            await until(lambda: not w.sidecar._engine.balancer.ready)
             if where == "hearing":  # half of it may have been taken
                 assert w.discovery.targets[seen] == "/registry/instances"
 
@@ -1112,7 +1112,7 @@
             await until(lambda: len(moved.targets) == 3)
             assert moved.called_at[-1] - began <= 1.5  # 0.5 s and 1 s at most, as at the first failures
             moved.say(7, [w.servers[1].entry()], snapshot=True)
-            await until(lambda: "s-0" not in w.sidecar._balancer.servers)
+            await until(lambda: "s-0" not in w.sidecar._engine.balancer.servers)
             w.move_discovery(moved.address)  # where it is already: nothing begins anew
             assert w.sidecar._discovery._moves == 1
             await moved.end()
@@ -1129,7 +1129,7 @@
             w.sidecar._discovery._tell(None, silent=True)  # it is told in the next turn
             w.move_discovery(moved.address)
             await until(lambda: moved.targets)
-            assert w.sidecar._balancer._failed_calls == w.sidecar._balancer._silent_calls == 0
+            assert w.sidecar._engine.balancer._failed_calls == w.sidecar._engine.balancer._silent_calls == 0
             await moved.end()
 
     on_clock(scene())
@@ -1140,13 +1140,13 @@
         async with world(served, served, drained=True) as w:
             gone, stays = w.servers
             w.discovery.say(43, [gone.entry(status="leaving")])
-            await until(lambda: len(w.sidecar._balancer.ready) == 1)
+            await until(lambda: len(w.sidecar._engine.balancer.ready) == 1)
             w.discovery.say(42, [gone.entry()])  # an older version of the service's list, late
             await until(lambda: w.discovery.targets[-1] == "/registry/instances")
-            assert len(w.sidecar._balancer.ready) == 1
+            assert len(w.sidecar._engine.balancer.ready) == 1
             w.discovery.say(3, [stays.entry()], snapshot=True)  # it counts anew: the whole list is right
             await until(lambda: w.discovery.targets[-1].startswith("/registry/instances?after=3&"))
-            assert [each.name for each in w.sidecar._balancer.ready] == [stays.name]
+            assert [each.name for each in w.sidecar._engine.balancer.ready] == [stays.name]
 
     on_clock(scene())
 
@@ -1180,7 +1180,7 @@
             await until(w.sent)
             began = asyncio.get_running_loop().time()
             w.stop.set()
-            await until(lambda: w.sidecar._over)
+            await until(lambda: w.sidecar._timers._is_closed)
             assert 3.6 <= asyncio.get_running_loop().time() - began < 3.7  # killed it is after 3.7 s
             got = client.sock.recv(10_000)
             assert got.startswith(b"HTTP/1.1 500") and b"Connection: close" in got
@@ -1198,12 +1198,12 @@
             client = Client(w)
             client.send(request(budget="1.0").replace(b"HTTP/1.1", version))
             await until(w.sent)
-            (live,), (there,) = w.sidecar._live.values(), w.servers[0].writers
+            (live,), (there,) = w.sidecar.proxy.in_flight.values(), w.servers[0].writers
             there.write(b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n")
             await until(lambda: live.streamed is not None)
             await asyncio.sleep(0.1)
             w.stop.set()
-            await until(lambda: w.sidecar._over)
+            await until(lambda: w.sidecar._timers._is_closed)
             assert_nothing_owed(w.sidecar)
             got = client.sock.recv(10_000)
             assert b"part" in got and not got.endswith(b"0\r\n\r\n")
@@ -1248,10 +1248,10 @@
             used, fresh = Client(w), Client(w)
             used.send(request())
             await until(lambda: len(w.sidecar.frontend.connections) == 2)
-            await until(lambda: len(w.sent()) == 1 and not w.sidecar._live)
+            await until(lambda: len(w.sent()) == 1 and not w.sidecar.proxy.in_flight)
             began = asyncio.get_running_loop().time()
             w.stop.set()
-            await until(lambda: w.sidecar._over)
+            await until(lambda: w.sidecar._timers._is_closed)
             assert asyncio.get_running_loop().time() - began < 0.75
             assert_nothing_owed(w.sidecar)
             for each in (used, fresh):
@@ -1283,7 +1283,7 @@
                 w.stop.set()
                 if at == "answering":
                     w.servers[0].writers[-1].write(answer(200, b"served"))
-                await until(lambda: w.sidecar._over)
+                await until(lambda: w.sidecar._timers._is_closed)
                 got = client.sock.recv(10_000)
                 status = b"503" if at == "dialling" else b"200"
                 assert got.startswith(b"HTTP/1.1 " + status) and client.sock.recv(1) == b""
@@ -1334,11 +1334,11 @@
                     for name in ("s-0", "s-1"):
                         w.sidecar._upstream.update(name, address, None, ServerState.READY)
                 loop = asyncio.get_running_loop()
-                began, real = loop.time(), w.sidecar._balancer.handle
+                began, real = loop.time(), w.sidecar._engine.balancer.handle
                 asking = asyncio.create_task(w.ask(kind="pay", body=b"x", budget="1.0"))
                 if at == "backstop":
                     await until(w.sent)
-                    monkeypatch.setattr(w.sidecar._balancer, "handle", lambda now, event: [])
+                    monkeypatch.setattr(w.sidecar._engine.balancer, "handle", lambda now, event: [])
                 status, _, _ = await asking
                 took = loop.time() - began
                 if at == "dial":
@@ -1346,11 +1346,13 @@
                 else:
                     assert status == 500 and 0.98 <= took < 1.05 and len(w.sent()) == 1
                 if at == "backstop":
-                    monkeypatch.setattr(w.sidecar._balancer, "handle", real)
-                    for number in list(w.sidecar._balancer._requests):
-                        w.sidecar.handle(RequestGone(number))
-                        w.sidecar.handle(AttemptEnded(number, 0, w.servers[0].name, Outcome.EXPIRED, 1, True))
-                await until(lambda: w.sidecar._upstream.open_count == 0 and not w.sidecar._live)
+                    monkeypatch.setattr(w.sidecar._engine.balancer, "handle", real)
+                    for number in list(w.sidecar._engine.balancer._requests):
+                        w.sidecar._engine.handle(RequestGone(number))
+                        w.sidecar._engine.handle(
+                            AttemptEnded(number, 0, w.servers[0].name, Outcome.EXPIRED, 1, True)
+                        )
+                await until(lambda: w.sidecar._upstream.open_count == 0 and not w.sidecar.proxy.in_flight)
 
     on_clock(scene())
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -42,7 +42,7 @@
 def test_changes_and_whole_lists_reach_the_balancer() -> None:
     async def scene() -> None:
         async with world(served, served) as w:
-            states = w.sidecar._balancer.servers
+            states = w.sidecar._engine.balancer.servers
             first, second = w.servers
             w.discovery.say(42, [first.entry(status="leaving")])
             await until(lambda: states["s-0"].state is ServerState.DRAINING)
@@ -70,7 +70,7 @@
                 43, [first.entry(status="left"), {**first.entry(), "name": "s-9", "status": "left"}]
             )
             await until(lambda: not w.sidecar._upstream._endpoints)
-            assert not w.sidecar._balancer.servers
+            assert not w.sidecar._engine.balancer.servers
             w.discovery.say(44, [second.entry()])
             await until(lambda: len(w.sidecar._upstream._endpoints) == 1)
             assert (await w.ask())[0] == 200
@@ -81,11 +81,11 @@
 def test_a_server_that_restarted_is_cold_from_then_on() -> None:
     async def scene() -> None:
         async with world(served) as w:
-            server = w.sidecar._balancer.servers["s-0"]
-            since_ms = w.sidecar._clock.now() // 1000
+            server = w.sidecar._engine.balancer.servers["s-0"]
+            since_ms = w.sidecar._engine.clock.now() // 1000
             w.discovery.say(42, [w.servers[0].entry(since_ms=since_ms)])
             await until(lambda: server.started_at == since_ms * 1000)
-            assert w.sidecar._balancer._is_cold(server)
+            assert w.sidecar._engine.balancer._is_cold(server)
 
     play(scene())
 
@@ -107,7 +107,7 @@
         async with world(served, rules={"ask_within_us": 1 * S}) as w:
             w.discovery.answers.put_nowait(bad)
             await until(lambda: len(w.discovery.targets) == 2)
-            assert w.sidecar._balancer._failed_calls == 1
+            assert w.sidecar._engine.balancer._failed_calls == 1
             assert (await w.ask())[0] == 200
 
     play(scene())
@@ -161,7 +161,7 @@
             await until(lambda: len(moved.targets) == 2)
             assert moved.targets[0] == "/registry/instances"
             assert moved.targets[1].startswith("/registry/instances?after=7&")
-            assert "s-0" not in w.sidecar._balancer.servers
+            assert "s-0" not in w.sidecar._engine.balancer.servers
             assert len(w.discovery.targets) == 1
             moved.stop()
 
@@ -173,7 +173,7 @@
         async with world(served, discovery="pushed") as w:
             w.discovery.answers.put_nowait(answer(503, b""))
             w.discovery.say(42, [w.servers[0].entry(status="leaving")])
-            await until(lambda: w.sidecar._balancer.servers["s-0"].state is ServerState.DRAINING)
+            await until(lambda: w.sidecar._engine.balancer.servers["s-0"].state is ServerState.DRAINING)
 
     play(scene())
 
@@ -226,7 +226,7 @@
     async def scene() -> None:
         async with world(served) as w:
             w.discovery.say(42, [w.servers[0].entry(status=status, address=None)])
-            await until(lambda: not w.sidecar._balancer.ready)
+            await until(lambda: not w.sidecar._engine.balancer.ready)
             assert (await w.ask())[0] == 503
             assert not w.sent()
 
--- a/tests/test_discovery_waits.py
+++ b/tests/test_discovery_waits.py
@@ -81,7 +81,7 @@
             await until(lambda: len(w.discovery.targets) == failures + 1)
             await asyncio.sleep(CALL_S)  # and one that is back may let it wait as long
             w.discovery.say(42, [w.servers[0].entry(status="leaving")])
-            await until(lambda: w.sidecar._balancer.servers["s-0"].state is ServerState.DRAINING)
+            await until(lambda: w.sidecar._engine.balancer.servers["s-0"].state is ServerState.DRAINING)
             assert loop.time() - back_at <= TOLD_S - MARGIN_S
 
     play_on_clock(scene(), monkeypatch)
@@ -104,9 +104,9 @@
                 await until(lambda: len(w.sidecar.frontend.connections) == 16)
                 await until(lambda: len(w.discovery.targets) == 2)
                 w.discovery.say(42, [w.servers[0].entry(status="leaving")])
-                await until(lambda: w.sidecar._balancer.servers["s-0"].state is ServerState.DRAINING)
+                await until(lambda: w.sidecar._engine.balancer.servers["s-0"].state is ServerState.DRAINING)
                 w.discovery.say(43, [w.servers[0].entry()])
-                await until(lambda: w.sidecar._balancer.ready)
+                await until(lambda: w.sidecar._engine.balancer.ready)
                 assert (await ask(w.sidecar.frontend.address, request()))[0] == 200
 
     play_on_clock(scene(), monkeypatch)
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -183,14 +183,14 @@
                 times.append(now)
                 return []
 
-            monkeypatch.setattr(w.sidecar._balancer, "handle", handle)
+            monkeypatch.setattr(w.sidecar._engine.balancer, "handle", handle)
             ticks = iter(range(1, 1_000_000))
-            monkeypatch.setattr(w.sidecar._clock, "now", lambda: next(ticks))
+            monkeypatch.setattr(w.sidecar._engine.clock, "now", lambda: next(ticks))
             for _ in range(3):
-                w.sidecar.handle(RequestGone(1))
+                w.sidecar._engine.handle(RequestGone(1))
             await asyncio.sleep(0)
             await asyncio.sleep(0)
-            w.sidecar.handle(RequestGone(1))
+            w.sidecar._engine.handle(RequestGone(1))
             assert times[0] == times[1] == times[2] < times[3]
 
     play(scene())
@@ -199,7 +199,7 @@
 def test_a_refusal_says_when_to_come_back() -> None:
     async def scene() -> None:
         async with world(served) as w:
-            w.sidecar._balancer.handle = lambda now, event: (  # type: ignore[method-assign]
+            w.sidecar._engine.balancer.handle = lambda now, event: (  # type: ignore[method-assign]
                 [Refuse(event.request, 250_000)] if isinstance(event, RequestArrived) else []
             )
             status, headers, _ = await w.ask()
@@ -212,17 +212,17 @@
 def test_a_defect_fails_its_request_and_nothing_else(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scene() -> None:
         async with world(served) as w:
-            real = w.sidecar._balancer.handle
+            real = w.sidecar._engine.balancer.handle
 
             def faulty(now: int, event: Event) -> list[Action]:
                 if isinstance(event, RequestArrived) and event.service_class == "pay":
                     raise ZeroDivisionError
                 return real(now, event)
 
-            monkeypatch.setattr(w.sidecar._balancer, "handle", faulty)
+            monkeypatch.setattr(w.sidecar._engine.balancer, "handle", faulty)
             assert (await w.ask(kind="pay", body=b"x"))[0] == 500
             assert (await w.ask())[0] == 200
-            assert not w.sidecar._live
+            assert not w.sidecar.proxy.in_flight
 
     play(scene())
 
@@ -234,7 +234,7 @@
             assert (await w.ask(kind="pay", body=b"x"))[0] == 500
             monkeypatch.undo()
             assert (await w.ask())[0] == 200
-            assert not w.sidecar._live
+            assert not w.sidecar.proxy.in_flight
 
     play(scene())
 
@@ -242,7 +242,7 @@
 def test_a_module_that_forgets_a_request_leaves_it_no_longer_than_its_time() -> None:
     async def scene() -> None:
         async with world(served) as w:
-            w.sidecar._balancer.handle = lambda now, event: []  # type: ignore[method-assign]
+            w.sidecar._engine.balancer.handle = lambda now, event: []  # type: ignore[method-assign]
             assert (await w.ask(budget="0.2"))[0] == 500
 
     play(scene())
@@ -254,7 +254,7 @@
             emitted = {
                 kind for kind in get_args(Action) if f"api.{kind.__name__}(" in inspect.getsource(balancer)
             }
-            assert len(emitted) > 5 and emitted <= set(w.sidecar._carry)
+            assert len(emitted) > 5 and emitted <= set(w.sidecar._engine.executors)
 
     play(scene())
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -158,11 +158,11 @@
     async def scene() -> None:
         async with world(served, orders=tmp_path) as one, world(served, orders=tmp_path) as two:
             assert await call(one, "PUT", "/api/exclude/s-0") == 200
-            await until(lambda: two.sidecar._balancer._excluded == {"s-0"})
+            await until(lambda: two.sidecar._engine.balancer._excluded == {"s-0"})
             assert await call(two, "PUT", "/api/evacuate") == 200
             await until(lambda: one.sidecar.frontend.draining)
             assert await call(two, "PUT", "/api/include/s-0") == 200
-            await until(lambda: not one.sidecar._balancer._excluded)
+            await until(lambda: not one.sidecar._engine.balancer._excluded)
 
     play(scene())
 
@@ -172,7 +172,7 @@
         (tmp_path / "excluded").write_text("junk")
         async with world(served, orders=tmp_path) as w:
             assert await call(w, "PUT", "/api/exclude/s-0") == 500
-            assert not w.sidecar._balancer._excluded
+            assert not w.sidecar._engine.balancer._excluded
             assert (await w.ask())[0] == 200
 
     play(scene())
@@ -276,9 +276,9 @@
             assert await health(w) == 503
             assert await call(w, "PUT", "/api/exclude/s-0") == 200  # bans go on during a drain
             w.stop.set()
-            await until(lambda: w.sidecar._stopping)
+            await until(lambda: w.sidecar.operations.is_stopping)
             Orders(tmp_path).rejoin()
-            w.sidecar._read_orders()
+            w.sidecar.operations.read_orders()
             assert w.sidecar.frontend.draining
 
     play(scene())
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -95,7 +95,7 @@
             writer.write(request())
             assert f"content-length: {len(LONG)}" in await read_head(reader)
             got = await reader.readexactly(300_000)
-            live = next(iter(w.sidecar._live.values()))
+            live = next(iter(w.sidecar.proxy.in_flight.values()))
             attempt = live.out[0]
             assert attempt is not None and not attempt.timers  # nothing would end it any more
             assert live.backstop is not None and live.backstop.cancelled()
@@ -271,8 +271,8 @@
             await read_head(reader)
             writer.close()
             await asyncio.wait_for(ended.wait(), PATIENCE_S)
-            await until(lambda: not w.sidecar._live and not w.sidecar._by_call)
-            assert w.sidecar._balancer._pending == 0 and w.sidecar._upstream._budget.streams == 0
+            await until(lambda: not w.sidecar.proxy.in_flight and not w.sidecar.proxy.by_call)
+            assert w.sidecar._engine.balancer._pending == 0 and w.sidecar._upstream._budget.streams == 0
 
     play(scene())
 
@@ -367,8 +367,12 @@
             reader, writer = await dial(w)
             data = request("pay", body=LONG)
             writer.write(data[:-1])
-            await until(lambda: w.sidecar._live and next(iter(w.sidecar._live.values())).out.get(0))
-            live = next(iter(w.sidecar._live.values()))
+            await until(
+                lambda: (
+                    w.sidecar.proxy.in_flight and next(iter(w.sidecar.proxy.in_flight.values())).out.get(0)
+                )
+            )
+            live = next(iter(w.sidecar.proxy.in_flight.values()))
             attempt = live.out[0]
             assert attempt is not None and attempt.until == math.inf
             assert live.answer_by is None and live.backstop is None
@@ -466,7 +470,7 @@
             writer.write(request("pay", body=LONG)[:-1])
             await until(lambda: w.sidecar._upstream._budget.streams == 1)
             writer.close()
-            await until(lambda: not w.sidecar._live)
+            await until(lambda: not w.sidecar.proxy.in_flight)
             assert w.sidecar._upstream._budget.streams == w.sidecar._upstream._budget.held == 0
 
     play(scene())
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -16,7 +16,7 @@
 
 import pytest
 
-from topazbank.net import sidecar
+from topazbank.net import clock, operations, sidecar
 from topazbank.net.queueing import PollTimes
 
 _REAL_WAIT_S = 0.001  # before the clock moves on: what is under way in the kernel arrives by then
@@ -79,12 +79,13 @@
     """Run a scene on a clock of its own; at its end no task, timer or descriptor may be left."""
     loop = VirtualLoop()
     offset = time.time() - loop.time()
-    clock = SimpleNamespace(
+    virtual = SimpleNamespace(
         monotonic_ns=lambda: round(loop.time() * 1e9),
         time_ns=lambda: round((loop.time() + offset) * 1e9),
         process_time=time.process_time,
     )
-    monkeypatch.setattr(sidecar, "time", clock)
+    for module in (clock, operations, sidecar):
+        monkeypatch.setattr(module, "time", virtual)
     gc.collect()
     before = descriptors()
     faults: list[dict[str, Any]] = []
--- a/topazbank/__main__.py
+++ b/topazbank/__main__.py
@@ -22,9 +22,10 @@
 from topazbank.interface import locality_from
 from topazbank.logs import Flood, LogConfig, start_log
 from topazbank.net import frontend
+from topazbank.net.config import Config, StateConfig
 from topazbank.net.endpoint_list import ListUpdate, parse_list
 from topazbank.net.queueing import TimedLoop
-from topazbank.net.sidecar import Config, Sidecar, StateConfig
+from topazbank.net.sidecar import Sidecar
 from topazbank.net.sources import RelayAddress
 from topazbank.net.upstream import parse_address
 from topazbank.wirehost import settings_from_wire
@@ -247,7 +248,7 @@
     for each in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(each, stop.set)  # before clients can connect: none is left without an answer
     sidecar = Sidecar(config)
-    sidecar.flood = flood
+    sidecar.operations.flood = flood
     loop.add_signal_handler(signal.SIGHUP, reload, sidecar)
     await sidecar.run(stop)
 
--- /dev/null
+++ b/topazbank/net/config.py
@@ -0,0 +1,59 @@
+"""What a sidecar is told, read and checked."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from topazbank.interface import Settings
+from topazbank.logs import LogConfig
+from topazbank.net.endpoint_list import ListUpdate
+from topazbank.net.sources import RelayAddress, in_order_of_preference
+from topazbank.net.upstream import Address
+
+if TYPE_CHECKING:  # loaded where the plane is on: a start without it costs no more CPU
+    from topazbank.lease.core import Terms
+    from topazbank.peers.membership import Tuning
+
+
+@dataclass(frozen=True, slots=True)
+class StateConfig:
+    """What is kept across a crash, and where (docs/recovery.md)."""
+
+    folder: Path
+    most_bytes: int
+    tier_folder: Path | None = None  # one that all sidecars of the tier see, for the tier's snapshot
+    every_ms: int = 1000
+    warm_ms: int = 500  # how long a start with nothing kept waits for its peers' state
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """All that a sidecar is told."""
+
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    settings: Settings
+    known: ListUpdate
+    memory_mb: int = 64
+    orders: Path = Path()  # a folder that outlasts this process
+    mgmt: Address | None = None  # where the operators call; None: nowhere
+    accept_fd: int | None = None  # the listening socket, where the platform holds it
+    peer_listen: Address | None = None  # where peers' datagrams come in
+    peers: tuple[Address, ...] = ()  # the tier's, this one's own included, by number
+    peer_plane: Tuning | None = None  # None: the peer plane is off
+    logging: LogConfig = field(default_factory=LogConfig)
+    state: StateConfig | None = None  # None: nothing is kept across a crash but the orders
+    duties: Terms | None = None  # of the leases of the tier's duties; None: there are none
+    identity: str = ""  # this sidecar's name, by which it spreads over the relays
+    relays: tuple[RelayAddress, ...] = ()  # asked in place of discovery, where there are any
+
+    def sources(self) -> list[Address]:
+        """Where the list of servers is asked for, in order of preference."""
+        if not self.relays:
+            return [self.discovery]
+        identity = self.identity or "{}:{}".format(*self.listen)
+        return in_order_of_preference(self.relays, identity, self.settings.zone)
--- /dev/null
+++ b/topazbank/net/operations.py
@@ -0,0 +1,214 @@
+"""The operators' calls at a sidecar's door: what they are told, and the orders that they give."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import logging
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import asdict
+from functools import partial
+from typing import TYPE_CHECKING
+
+from topazbank.interface import Exclude, ExclusionAsked, ExclusionsHeard, ZoneOrder, ZonesOrdered
+from topazbank.net.admin import Declined, Operation
+from topazbank.net.discovery import Discovery
+from topazbank.net.engine import Engine
+from topazbank.net.frontend import Frontend
+from topazbank.net.orders import Orders
+from topazbank.net.proxy import Proxy, by_status
+from topazbank.net.upstream import Upstream
+from topazbank.views import servers_view, state_line, zones_view
+
+if TYPE_CHECKING:
+    from topazbank.logs import Flood
+    from topazbank.net.latency import Latencies
+    from topazbank.peers.link import PeerLink
+
+log = logging.getLogger(__name__)
+
+EVACUATION_KEPT_S = 0.4  # where others take the clients, how long resting connections may end by an answer
+
+
+class Operations:
+    """Carries out the operators' calls, and follows the orders that are stored."""
+
+    def __init__(
+        self,
+        engine: Engine,
+        proxy: Proxy,
+        frontend: Frontend,
+        connections: Upstream,
+        discovery: Discovery,
+        orders: Orders,
+        link: PeerLink | None,
+        latencies: Latencies | None,
+    ) -> None:
+        self._engine = engine
+        self._proxy = proxy
+        self._frontend = frontend
+        self._upstream = connections
+        self._discovery = discovery
+        self._orders = orders
+        self._link = link
+        self._latencies = latencies
+        self.flood: Flood | None = None  # what bounds the log
+        self.takes_clients = False
+        self.is_stopping = False
+        self.ordered: frozenset[str] = frozenset()  # exclusions in this sidecar's own orders
+        self._excluded: frozenset[str] = frozenset()  # servers left out, as the balancer last said
+        self._orders_fault = False
+        self._knows_server = False  # whether the balancer took the call that it was last asked about
+        self._evacuated = False
+        self._zone_orders: dict[str, ZoneOrder] = {}
+        engine.executors[Exclude] = self._exclude
+
+    def calls(self) -> dict[str, tuple[str, Operation]]:
+        """The door's calls by name: method and operation."""
+        return {
+            "ready": ("GET", self._tell_ready),
+            "members": ("GET", self._tell_members),
+            "status": ("GET", self._tell_status),
+            "servers": ("GET", self._tell_servers),
+            "zones": ("GET", self._tell_zones),
+            "duties": ("GET", self._tell_duties),
+            "drain-zone/": ("PUT", partial(self._order_zone, order=ZoneOrder.DRAIN)),
+            "pin-zone/": ("PUT", partial(self._order_zone, order=ZoneOrder.PIN)),
+            "free-zone/": ("PUT", partial(self._order_zone, order=None)),
+            "exclude/": ("PUT", partial(self._ask_exclusion, excluded=True)),
+            "include/": ("PUT", partial(self._ask_exclusion, excluded=False)),
+            "evacuate": ("PUT", lambda _: self._order(self._orders.evacuate)),
+            "rejoin": ("PUT", lambda _: self._order(self._orders.rejoin)),
+        }
+
+    # -- What they are told -------------------------------------------------------------------------------
+
+    def _tell_ready(self, _: str) -> None:
+        if not self.takes_clients:
+            raise Declined(503, "this process takes no clients")
+
+    def _tell_members(self, _: str) -> str:
+        if self._link is None:
+            raise Declined(404, "the peer plane is off")
+        return json.dumps(self._link.describe() | {"excluded": sorted(self._excluded)})
+
+    def _tell_status(self, _: str) -> str:
+        """The whole of this sidecar at a glance; latencies in ms."""
+        told = {
+            "ready": self.takes_clients and not self._frontend.draining,
+            "held": len(self._proxy.by_call),
+            "clients": len(self._frontend.connections),
+            "connections_to_servers": self._upstream.open_count,
+            "answered": by_status(self._proxy.answers),
+            "state": state_line(self._engine.balancer),
+            "discovery": asdict(self._discovery.status()),
+            "cpu_s": round(time.process_time(), 3),
+            "log_lines_suppressed": self.flood.suppressed if self.flood is not None else 0,
+            "latency_ms": self._latencies.classes() if self._latencies is not None else {},
+        }
+        return json.dumps(told)
+
+    def _tell_servers(self, _: str) -> str:
+        told = servers_view(self._engine.balancer, self._engine.clock.now())
+        for name, server in told.items():
+            server["latency_ms"] = self._latencies.server(name) if self._latencies is not None else None
+        return json.dumps(told)
+
+    def _tell_zones(self, _: str) -> str:
+        return json.dumps(zones_view(self._engine.balancer.zones, self._engine.clock.now()))
+
+    def _tell_duties(self, _: str) -> str:
+        told = self._link.duties() if self._link is not None else None
+        if told is None:
+            raise Declined(404, "there are no duties: the peer plane or its leases are off")
+        return json.dumps(told)
+
+    # -- What they order ----------------------------------------------------------------------------------
+
+    def _order_zone(self, zone: str, order: ZoneOrder | None) -> None:
+        zones = self._engine.balancer.zones
+        if not zones.on:
+            raise Declined(404, "zones are off")
+        if zone not in zones.by_name:
+            raise Declined(404, "no such zone is listed")
+        with _storing():
+            self._orders.order_zone(zone, order.value if order is not None else None)
+        self.read_orders()
+
+    def _ask_exclusion(self, server: str, excluded: bool) -> None:
+        """Yes once the order is stored and in force; where it can't be stored, nothing has changed."""
+        with _storing():
+            (self._orders.exclude if excluded else self._orders.include)(server)
+        self._knows_server = False
+        self._engine.handle(ExclusionAsked(server, excluded))
+        if not self._knows_server:
+            with _storing():
+                self._orders.include(server)
+            raise Declined(404, "no such server was ever listed")
+
+    def _order(self, store: Callable[[], None]) -> None:
+        with _storing():
+            store()
+        self.read_orders()
+
+    # -- The orders in force ------------------------------------------------------------------------------
+
+    def read_orders(self) -> None:
+        """Follow what is stored; of two processes in an upgrade either may have been told."""
+        try:
+            excluded, evacuated = self._orders.read()
+        except OSError as fault:
+            if not self._orders_fault:
+                log.error("the operators' orders can't be read, what is in force stays: %s", fault)
+            self._orders_fault = True
+            return
+        self._orders_fault = False
+        changed, self.ordered = excluded != self.ordered, excluded
+        if changed and self._link is not None:
+            self._link.ban(excluded)
+        self.hear_exclusions()
+        self._hear_zone_orders()
+        if evacuated == self._evacuated or self.is_stopping:
+            return
+        self._evacuated = evacuated
+        log.info("evacuated" if evacuated else "back at work")
+        if evacuated:
+            self._frontend.drain(EVACUATION_KEPT_S)
+        else:
+            self._frontend.undrain()
+
+    def hear_exclusions(self) -> None:
+        """The module hears this sidecar's own orders and the bans that the plane holds for the tier."""
+        wanted = self.ordered | (self._link.bans() if self._link is not None else frozenset())
+        if wanted != self._excluded:
+            self._engine.handle(ExclusionsHeard(wanted))
+
+    def _hear_zone_orders(self) -> None:
+        if not self._engine.balancer.zones.on:
+            return
+        try:
+            stored = self._orders.zones()
+        except OSError:
+            return  # the orders' own reading has said so
+        known = {each.value: each for each in ZoneOrder}
+        orders = {zone: known[order] for zone, order in stored.items() if order in known}
+        if orders != self._zone_orders:
+            self._zone_orders = orders
+            log.info("zones ordered: %s", ", ".join(f"{z} {o}" for z, o in sorted(stored.items())) or "none")
+            self._engine.handle(ZonesOrdered(orders))
+
+    def _exclude(self, action: Exclude) -> None:
+        self._knows_server = True
+        if action.servers != self._excluded:
+            self._excluded = action.servers
+            self._upstream.exclude(action.servers)
+            log.info("excluded now: %s", ", ".join(sorted(action.servers))[:500] or "none")
+
+
+@contextlib.contextmanager
+def _storing() -> Iterator[None]:
+    try:
+        yield
+    except OSError as fault:
+        raise Declined(500, f"the order could not be stored: {fault}") from None
