Name the module's parts by the field's terms

_feel, _felt, _fill, _plays, _save, _warmth, felt, unrest, Judged and Recalled become _note_time_spent, _note_health, _window_fill, _handlers, _hedge, _slow_start_weight, counted_late, remove_idle, PublishVerdict and StateRestored. Behaviour is as before.

--- a/tests/test_locality.py
+++ b/tests/test_locality.py
@@ -10,13 +10,13 @@
 from helpers import S as SECOND
 
 from topazbank.interface import (
-    Judged,
     ListedServer,
     Outcome,
     PeerVerdict,
     Probe,
     ProbeEnded,
     ProbingHeard,
+    PublishVerdict,
     TierAsked,
     Verdict,
     VerdictsHeard,
@@ -103,7 +103,7 @@
     serve(stage, 50)
     drawn = serve(stage, 40, lost="a")
     assert left(stage) == {"a"} and drawn["a"] <= 6
-    assert (Verdict.ZONE_LEFT, "a") in [(e.verdict, e.server) for e in stage.said(Judged)]
+    assert (Verdict.ZONE_LEFT, "a") in [(e.verdict, e.server) for e in stage.said(PublishVerdict)]
 
 
 def test_one_own_failure_is_enough_where_a_peer_has_left_the_zone_and_its_word_alone_is_not() -> None:
@@ -181,7 +181,7 @@
     for _ in range(2):
         stage.play(ProbingHeard(True))
         stage.play(ProbeEnded(stage.said(Probe)[-1].server, Outcome.DELIVERED, 1000))
-    assert [(each.server, each.verdict) for each in stage.said(Judged)] == [("b", Verdict.ZONE_BACK)]
+    assert [(each.server, each.verdict) for each in stage.said(PublishVerdict)] == [("b", Verdict.ZONE_BACK)]
 
 
 def test_a_peers_word_does_not_bring_back_a_zone_before_its_backoff() -> None:
@@ -227,7 +227,7 @@
     failed = stage.target(request)
     stage.end(request, Outcome.ERROR)
     assert stage.balancer.servers[failed].turned_away[("look", None)][0] > stage.now
-    told = [each for each in stage.said(Judged) if each.verdict is Verdict.FAILING]
+    told = [each for each in stage.said(PublishVerdict) if each.verdict is Verdict.FAILING]
     assert [(each.server, each.service_class) for each in told] == [(failed, "look")]
 
 
--- a/topazbank/balancer.py
+++ b/topazbank/balancer.py
@@ -168,7 +168,7 @@
         self._mean_load = 0.0  # own requests in flight, averaged
         self._load_at = self._sized_at = 0
         self.mix: dict[Flow, Rate] = {}  # what is asked, by class and tenant
-        self._plays: dict[type[Any], Callable[[Any], None]] = {  # no messages are sent, so none are awaited
+        self._handlers: dict[type[Any], Callable[[Any], None]] = {  # by the kind of event
             api.AttemptEnded: self._attempt_ended,
             api.RequestArrived: self._request_arrived,
             api.TimerFired: lambda _: self._timer_fired(),
@@ -184,7 +184,7 @@
             api.ProbingHeard: self._probing_heard,
             api.ZoneBack: lambda event: self._zone_back(self.zones.may_return(self._now, event.zone)),
             api.ProbeEnded: self._probe_ended,
-            api.Recalled: self._recalled,
+            api.StateRestored: self._state_restored,
         }
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
@@ -196,8 +196,8 @@
         if self._begun < 0:
             self._begun = now
             self._ask_in(self._ask_spread() * self._stagger.random())
-        if play := self._plays.get(type(event)):
-            play(event)
+        if handle := self._handlers.get(type(event)):
+            handle(event)
         self._keep_beat()
         self._arm_timer()
         return self.actions
@@ -395,7 +395,7 @@
                 each.answers_before = self._answers
                 self._schedule(self._now + self._patience(request, each.server), request.ident, each.index)
 
-    def _feel(self, spent: float) -> None:
+    def _note_time_spent(self, spent: float) -> None:
         """Follow how much of its aim the typical answer takes (a median), and size the window by it."""
         (self._in_time if spent <= 1.0 else self._too_late).add(self._now, 1.0)
         if self._floor is None:
@@ -452,7 +452,7 @@
             heapq.heappop(self._ghosts)
         return self._pending - self._stuck + len(self._ghosts)
 
-    def _fill(self) -> float:
+    def _window_fill(self) -> float:
         """How much of the window is taken; where it holds few, the mean counts, as two at once are chance."""
         certain = min(self._window / MANY, 1.0)
         return (self._mean_load + certain * (self._load() - self._mean_load)) / self._window
@@ -464,7 +464,7 @@
         self.mix[request.flow].add(self._now, 1.0)
         if max(self._arrivals.per_us(self._now) * self._longest_aim, self._load()) < MANY / 2:
             return self._sheds_by_count(self._standing(request.flow))
-        fill = self._fill()
+        fill = self._window_fill()
         if fill <= FREE:
             return False
         pressure = STEEP * (fill - FREE) / (1.0 - FREE)
@@ -570,12 +570,12 @@
     def _odds(self, server: Server, power: float) -> float:
         """Slower servers are drawn less, by heavy requests still less; cold ones by their warmth."""
         pace = math.pow(max(server.pace, 1.0 / PACE_CLIP), power)
-        return 1.0 / pace if server.cold_since is None else self._warmth(server) / pace
+        return 1.0 / pace if server.cold_since is None else self._slow_start_weight(server) / pace
 
     def _weigh_zones(self) -> float:
         """Odds of servers in other zones: less while the own zone is as quick as theirs and none is late."""
         priced = self.zones.on or self._settings.prices.cross_zone > 0.0
-        if not priced or self._late >= LATE_ALLOWED or self._fill() > FREE:
+        if not priced or self._late >= LATE_ALLOWED or self._window_fill() > FREE:
             return 1.0  # room anywhere is worth more than a crossing
         here, pool = self.zones.here, [each for each in self.ready if each.ejected_until is None]
         near = [each.pace for each in pool if each.zone == here]
@@ -667,9 +667,9 @@
         self._judge(request, attempt, event.outcome)
         if event.outcome is Outcome.CANCELLED and attempt.silent and event.answered:
             if attempt.server.last_answer_at < attempt.sent_at:
-                self._felt(attempt.server, attempt.sent_at, False)  # a copy elsewhere was answered meanwhile
+                self._note_health(attempt.server, attempt.sent_at, False)  # a copy elsewhere was answered
         if event.outcome in (Outcome.EXPIRED, Outcome.CANCELLED):
-            if not (attempt.felt or request.answered or event.answered):
+            if not (attempt.counted_late or request.answered or event.answered):
                 self._too_late.add(self._now, 1.0)
             until = self._now + int(GHOST_LIFE * event.elapsed_us)
             attempt.server.ghosts.append(until)
@@ -690,13 +690,13 @@
             self._served_aims.add(self._now, request.kind.aim_us)
         if event.outcome is Outcome.DELIVERED and self._now != self._back_at:
             self._time(attempt.server, request, event.elapsed_us)
-            if not attempt.felt:
-                self._feel(event.elapsed_us / request.kind.aim_us)
+            if not attempt.counted_late:
+                self._note_time_spent(event.elapsed_us / request.kind.aim_us)
             attempt.server.turned_away.pop(request.flow, None)
         elif event.outcome is Outcome.FULL:
             self._turned_away(request, attempt.server)
             self._tell(attempt.server, request.kind.name, api.Verdict.FULL)
-            self._feel(LOST_SPENT)
+            self._note_time_spent(LOST_SPENT)
         if event.answered:
             if not request.answered:
                 self._close(request)
@@ -753,10 +753,10 @@
         waited = self._now - attempt.sent_at - (self._absent_us - attempt.absent_before)
         if waited < request.kind.aim_us:
             self._schedule(self._now + request.kind.aim_us - waited, request.ident, attempt.index)
-        elif not attempt.felt and server.ejected_until is None:
+        elif not attempt.counted_late and server.ejected_until is None:
             # Late already, though no answer says so yet: waiting for one would see a surge too late.
-            attempt.felt = True
-            self._feel(LOST_SPENT)
+            attempt.counted_late = True
+            self._note_time_spent(LOST_SPENT)
         enough = max(SILENCE * self._patience(request, server), SILENT_AIMS * request.kind.aim_us)
         if silent and waited < enough:
             self._schedule(self._now + int(enough) - waited, request.ident, attempt.index)
@@ -765,11 +765,11 @@
             if answered >= QUIET_PEERS:
                 if server.ejected_until is None:
                     self._eject(server, "silent", SILENT_MOST)
-                self._felt(server, attempt.sent_at, False)
+                self._note_health(server, attempt.sent_at, False)
         if silent and (server.ejected_until is not None or attempt.silent):
-            self._save(request, attempt)
+            self._hedge(request, attempt)
 
-    def _save(self, request: Request, attempt: Attempt) -> None:
+    def _hedge(self, request: Request, attempt: Attempt) -> None:
         """Send a request elsewhere too, or instead, whose attempt will hardly be answered."""
         limits = self._settings.limits
         if not self._may_run_again(request) or len(request.attempts) >= limits.max_attempts:
@@ -798,7 +798,7 @@
                 self._served_warm.add(self._now, request.cost)  # overload serves the light ones
             if server.ejected_until is not None:
                 self._readmit(server)
-            self._felt(server, attempt.sent_at, True)
+            self._note_health(server, attempt.sent_at, True)
         elif outcome in _FAILURES:
             if outcome is Outcome.EXPIRED and server.last_answer_at > attempt.sent_at:
                 return  # it is slow, not sick: it answered others meanwhile
@@ -807,7 +807,7 @@
             if trial or (server.strikes + doubted >= STRIKES and server.ejected_until is None):
                 self._eject(server, outcome.value)
             if outcome is not Outcome.ERROR:  # who errs is there
-                self._felt(server, attempt.sent_at, False)
+                self._note_health(server, attempt.sent_at, False)
 
     def _eject(self, server: Server, reason: str, most: float = EJECTED_MOST) -> None:
         if server.ejected_until is None:
@@ -841,7 +841,7 @@
             server.told.pop(name, None)
             if held is not None:
                 server.told[name] = held
-            self.actions.append(api.Judged(server.name, verdict, name, max(evidence, 1)))
+            self.actions.append(api.PublishVerdict(server.name, verdict, name, max(evidence, 1)))
 
     def _verdicts_heard(self, event: api.VerdictsHeard) -> None:
         """Take what live peers hold: a doubted server is drawn less, an own failure counts for one more."""
@@ -862,7 +862,7 @@
         """How many peers hold something against a server for a class, as far as it counts."""
         return min(max(server.doubts.get(None, 0), server.doubts.get(name, 0)), DOUBTERS_MOST)
 
-    def _recalled(self, event: api.Recalled) -> None:
+    def _state_restored(self, event: api.StateRestored) -> None:
         """Take up what an earlier life or peers learned, where nothing tells otherwise yet."""
         self.norms = dict(event.usual_us) | self.norms
         self.bearable, self._bearable_at = max(self.bearable, event.bearable_per_us), self._now
@@ -876,27 +876,27 @@
 
     # -- Zones: left as a whole, tried by one request or by who probes for all ------------------------
 
-    def _felt(self, server: Server, sent_at: int, good: bool) -> None:
+    def _note_health(self, server: Server, sent_at: int, good: bool) -> None:
         if not self.zones.on:
             return
         self._zone_back(self.zones.tried(self._now, server, sent_at, good))
-        zone = self.zones.felt(self._now, server, good)
+        zone = self.zones.note_health(self._now, server, good)
         if zone is None:
             return
         self.zones.leave(self._now, zone)
         span, self._late = SPARSE_AIMS * self._longest_aim, 0.0
         self._too_late, self._shed = Rate(span), Rate(span)  # what was late was there
         self.actions.append(api.Log(f"left zone {zone.name}: its servers fail", "zone_left", zone.name))
-        self.actions.append(api.Judged(zone.name, api.Verdict.ZONE_LEFT, None, len(zone.failing)))
+        self.actions.append(api.PublishVerdict(zone.name, api.Verdict.ZONE_LEFT, None, len(zone.failing)))
         for request in list(self._requests.values()):
             for each in request.attempts:
                 if each.pending and not (each.started or request.answered) and each.server.zone == zone.name:
-                    self._save(request, each)
+                    self._hedge(request, each)
 
     def _zone_back(self, zone: Zone | None) -> None:
         if zone is None:
             return
-        self.actions.append(api.Judged(zone.name, api.Verdict.ZONE_BACK))
+        self.actions.append(api.PublishVerdict(zone.name, api.Verdict.ZONE_BACK))
         if zone.left_at is None:
             return  # it answers who probes for peers that have left it
         self.zones.come_back(self._now, zone)
@@ -944,7 +944,7 @@
     def _is_cold(self, server: Server) -> bool:
         return server.cold_since is not None and self._now < server.cold_since + self._settings.rules.cold_us
 
-    def _warmth(self, server: Server) -> float:
+    def _slow_start_weight(self, server: Server) -> float:
         """The least share of its capacity that the server has by now."""
         rules = self._settings.rules
         if server.cold_since is None or not self._is_cold(server):
@@ -957,7 +957,7 @@
         if not self._is_cold(server):
             return True
         rules = self._settings.rules
-        limit = rules.fall_multiple * self._warmth(server) * self._bearable_by_mean()
+        limit = rules.fall_multiple * self._slow_start_weight(server) * self._bearable_by_mean()
         most = max(1.0, COLD_BURST * limit * rules.fall_us)
         filled = COLD_SHARE * limit * max(self._now - server.allowance_at, 0)
         server.allowance = min(server.allowance + filled, most)
--- a/topazbank/interface.py
+++ b/topazbank/interface.py
@@ -621,7 +621,7 @@
 
 
 @dataclass(slots=True)
-class Recalled:
+class StateRestored:
     """What an earlier life of this balancer, or its peers, had learned."""
 
     servers: Mapping[str, KeptServer] = field(default_factory=dict)
@@ -646,7 +646,7 @@
     | ZonesOrdered
     | ProbingHeard
     | ZoneBack
-    | Recalled
+    | StateRestored
 )
 
 # ---------------------------------------------------------------------------------------------------
@@ -735,7 +735,7 @@
 
 
 @dataclass(slots=True)
-class Judged:
+class PublishVerdict:
     """What this balancer holds of a server (or a zone, by its name) has changed: worth telling peers."""
 
     server: str
@@ -765,6 +765,6 @@
     | Follow
     | FetchList
     | Exclude
-    | Judged
+    | PublishVerdict
     | Log
 )
--- a/topazbank/locality.py
+++ b/topazbank/locality.py
@@ -14,7 +14,7 @@
 from topazbank.rates import Rate
 from topazbank.servers import Server
 
-FELT_AIMS = 1.0  # what a zone answers and fails is counted over this many of the longest aim
+HEALTH_AIMS = 1.0  # what a zone answers and fails is counted over this many of the longest aim
 BACK_AIMS = 0.5  # first wait before a zone left is tried again, in longest aims; it doubles with each failure
 BACK_AIMS_MOST = 8.0
 RAMP_LEAST = 0.1  # the weight at which a zone or a server comes back
@@ -77,7 +77,7 @@
                 del self._levels[at][bisect_left(self._levels[at], server.place, key=_place)]
         if name is not None:
             if name not in self.by_name:
-                self.by_name[name] = Zone(name, Rate(FELT_AIMS * self._aim), self._orders.get(name))
+                self.by_name[name] = Zone(name, Rate(HEALTH_AIMS * self._aim), self._orders.get(name))
             self.by_name[name].listed += 1
             for at in self._levels_of(name):
                 insort(self._levels[at], server, key=_place)
@@ -92,7 +92,7 @@
         """Servers were ejected or readmitted, or zones left: the shares are to be reckoned anew."""
         self._shares = None
 
-    def felt(self, now: int, server: Server, good: bool) -> Zone | None:
+    def note_health(self, now: int, server: Server, good: bool) -> Zone | None:
         """A server answered, or failed as one does that is cut off; give its zone if that is to be left."""
         zone = self.by_name.get(server.zone)
         if zone is None:
@@ -121,7 +121,7 @@
 
     def failed(self, now: int, zone: Zone) -> float:
         """Of the zone's servers that are in use, the part that failed and did not answer since."""
-        since = now - int(FELT_AIMS * self._aim)
+        since = now - int(HEALTH_AIMS * self._aim)
         answering = sum(at >= since for at in zone.answering.values())
         return len(zone.failing) / max(len(zone.failing) + answering, 1)
 
@@ -173,7 +173,7 @@
 
     def come_back(self, now: int, zone: Zone) -> None:
         """Ease the zone in.  `retries` ends with the ramp: one that flaps is left for longer each time."""
-        zone.left_at, zone.ramp_at, zone.bad = None, now, Rate(FELT_AIMS * self._aim)
+        zone.left_at, zone.ramp_at, zone.bad = None, now, Rate(HEALTH_AIMS * self._aim)
         zone.failing.clear()
         self.changed()
 
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -10,7 +10,16 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
-from topazbank.interface import CloseIdle, FetchList, Follow, Judged, ListKind, Log, ServersListed, Settings
+from topazbank.interface import (
+    CloseIdle,
+    FetchList,
+    Follow,
+    ListKind,
+    Log,
+    PublishVerdict,
+    ServersListed,
+    Settings,
+)
 from topazbank.interface import Discovery as DiscoveryMode
 from topazbank.net import upstream
 from topazbank.net.admin import Door
@@ -95,7 +104,7 @@
             CloseIdle: lambda action: self._upstream.close_idle(action.server),
             Follow: lambda action: self._discovery.follow(action.wanted),
             FetchList: lambda _: self._discovery.fetch(),
-            Judged: self._judged,
+            PublishVerdict: self._publish_verdict,
             Log: self._log,
         }
         self._engine.executors |= executors
@@ -127,7 +136,7 @@
             # Before the first request: a ban outlasts the process that took it.
             self._timers.every(_ORDERS_EVERY_S, self.operations.read_orders)
             self.door.start()
-        self._recall()
+        self._restore()
         if self._link is not None:
             await self._link.start(self._plane_bound)
         if not self._listed.is_set():  # else discovery has answered meanwhile, after a reload
@@ -259,9 +268,9 @@
         self._link.ban(self.operations.ordered)
         self._timers.every(_ORDERS_EVERY_S, self.operations.hear_exclusions)
 
-    def _judged(self, action: Judged) -> None:
+    def _publish_verdict(self, action: PublishVerdict) -> None:
         if self._link is not None:
-            self._link.judged(action)
+            self._link.publish_verdict(action)
 
     # -- What outlasts a crash -----------------------------------------------------------------------------
 
@@ -273,7 +282,7 @@
 
         return Keeper(Store(config.state.folder, config.state.most_bytes), config.state.tier_folder)
 
-    def _recall(self) -> None:
+    def _restore(self) -> None:
         """Begin with what an earlier life kept: the list where it is newer, then what was learned."""
         if self._keeper is None:
             return
--- a/topazbank/net/upstream.py
+++ b/topazbank/net/upstream.py
@@ -467,7 +467,7 @@
     idle: dict[Connection, asyncio.TimerHandle] = field(default_factory=dict)  # the longest at rest first
     dialling: set[Exchange] = field(default_factory=set)
 
-    def unrest(self, connection: Connection) -> None:
+    def remove_idle(self, connection: Connection) -> None:
         """Take a connection out of those at rest, with the timer that would close it; once is enough."""
         if (timer := self.idle.pop(connection, None)) is not None:
             timer.cancel()
@@ -658,7 +658,7 @@
         endpoint = self._endpoints.get(name)
         while endpoint is not None and endpoint.idle:
             connection = next(reversed(endpoint.idle))
-            endpoint.unrest(connection)
+            endpoint.remove_idle(connection)
             connection.abort()
 
     @staticmethod
@@ -680,7 +680,7 @@
         for connection in reversed(list(endpoint.idle)):
             if connection.rests_from > rested:
                 continue
-            endpoint.unrest(connection)
+            endpoint.remove_idle(connection)
             if connection.is_idle():
                 return connection
             connection.abort()
@@ -695,7 +695,7 @@
             return False
         fullest = max(idle, key=lambda each: len(each.idle))
         connection = next(iter(fullest.idle))
-        fullest.unrest(connection)
+        fullest.remove_idle(connection)
         connection.abort()
         return True
 
@@ -721,7 +721,7 @@
     def _lost(self, endpoint: Endpoint, connection: Connection) -> None:
         """A connection is over, whoever ended it: one at rest that its server closed gives no room."""
         self._open.discard(connection)
-        endpoint.unrest(connection)
+        endpoint.remove_idle(connection)
 
     def _write(self, exchange: Exchange, connection: Connection) -> None:
         exchange.connection = connection
--- a/topazbank/peers/link.py
+++ b/topazbank/peers/link.py
@@ -13,11 +13,11 @@
 
 from topazbank.interface import (
     Event,
-    Judged,
     KeptServer,
     PeerVerdict,
     ProbingHeard,
-    Recalled,
+    PublishVerdict,
+    StateRestored,
     TierAsked,
     Verdict,
     VerdictsHeard,
@@ -93,7 +93,7 @@
             self._timer.cancel()
         self.plane.stop()
 
-    async def warm(self, stop: asyncio.Event, limit_s: float) -> Recalled:
+    async def warm(self, stop: asyncio.Event, limit_s: float) -> StateRestored:
         """Ask peers for all that they hold and wait until one has told all, `limit_s` at most.
 
         Their verdicts go to the module at once.  What they learned of servers' paces counts half: it is
@@ -116,11 +116,11 @@
         paces = {name: 1.0 + (pace / 100 - 1.0) / 2 for name, pace in swim.facts_heard.items()}
         out = self.plane.with_core(lambda core, now: core.tier_ejected(now))
         names = sorted({*paces, *out})
-        return Recalled({name: KeptServer(paces.get(name, 1.0), int(name in out)) for name in names})
+        return StateRestored({name: KeptServer(paces.get(name, 1.0), int(name in out)) for name in names})
 
     # -- Out: what this sidecar holds -------------------------------------------------------------------
 
-    def judged(self, action: Judged) -> None:
+    def publish_verdict(self, action: PublishVerdict) -> None:
         """The module holds something new of a server, one of its classes, or a zone."""
         slot = codec.ALL_CLASSES
         if action.verdict in (Verdict.ZONE_LEFT, Verdict.ZONE_BACK):
--- a/topazbank/servers.py
+++ b/topazbank/servers.py
@@ -52,5 +52,5 @@
     pending: bool = True
     may_have_run: bool = True  # until an outcome proves that it did not
     started: bool = False
-    felt: bool = False  # whether its lateness was counted as a sign of overload
+    counted_late: bool = False  # whether its lateness was counted as a sign of overload
     silent: bool = False  # whether its server was found silent by it
--- a/topazbank/state/keeper.py
+++ b/topazbank/state/keeper.py
@@ -26,7 +26,7 @@
 import msgpack  # type: ignore[import-untyped]
 
 from topazbank.balancer import Balancer
-from topazbank.interface import KeptServer, Recalled
+from topazbank.interface import KeptServer, StateRestored
 from topazbank.lease.duties import SNAPSHOT, WROTE
 from topazbank.peers import codec
 from topazbank.peers.codec import Malformed, Status, VerdictUpdate
@@ -46,7 +46,7 @@
 class Kept:
     """What was on disk."""
 
-    recalled: Recalled = field(default_factory=Recalled)
+    recalled: StateRestored = field(default_factory=StateRestored)
     listed: tuple[str, dict[str, Any]] | None = None  # discovery's address, and its list
     plane: tuple[int, int] | None = None
     members: dict[int, tuple[Status, int]] = field(default_factory=dict)
@@ -196,7 +196,7 @@
                 kept.epochs[int(rest)] = int(given)
         except (ValueError, TypeError, IndexError, Malformed, msgpack.UnpackException):
             log.warning("state: record %.80s is not taken", key)
-    kept.recalled = Recalled(servers, usual, bearable)
+    kept.recalled = StateRestored(servers, usual, bearable)
     return kept
 
 
--- a/topazbank/views.py
+++ b/topazbank/views.py
@@ -62,7 +62,7 @@
         "excluded": server.excluded,
         "in_flight": server.in_flight,
         "pace": round(server.pace, 2),
-        "warmth": round(balancer._warmth(server), 2),
+        "warmth": round(balancer._slow_start_weight(server), 2),
         "strikes": server.strikes,
         "ejected_for_ms": None if until is None else max(until - now, 0) // 1000,
         "peers_against": max(server.doubts.values(), default=0),
--- a/topazbank/wirehost.py
+++ b/topazbank/wirehost.py
@@ -22,7 +22,6 @@
     Fail,
     FetchList,
     Follow,
-    Judged,
     ListedServer,
     ListKind,
     Log,
@@ -30,6 +29,7 @@
     Outcome,
     Probe,
     ProbeEnded,
+    PublishVerdict,
     Refuse,
     RequestArrived,
     RequestGone,
@@ -389,7 +389,7 @@
             self._reply.append(json.dumps(["INTERNAL_ERROR", who, f"{type(fault).__name__}: {fault}"[:500]]))
             return
         for action in actions:
-            if not isinstance(action, Judged):  # instances share nothing here
+            if not isinstance(action, PublishVerdict):  # instances share nothing here
                 self._reply.append(_write_action(who, action))
 
 
