--- a/bench/scale.py
+++ b/bench/scale.py
@@ -15,6 +15,7 @@
 import scale_edge
 import scale_fanout
 import scale_peers
+import scale_request
 from earlier import revision
 from scale_fit import Series, report
 
@@ -51,7 +52,7 @@
     everything = not (chosen.edge or chosen.peers or chosen.fanout)
     print(f"{revision()} on {os.cpu_count()} cores")
     if chosen.edge or everything:
-        for series in scale_edge.run(LISTED):
+        for series in scale_edge.run(LISTED) + scale_request.run(LISTED):
             report(series, TARGET)
     if chosen.peers or everything:
         for series in scale_peers.run(MEMBERS):
