--- a/bench/scale_fanout.py
+++ b/bench/scale_fanout.py
@@ -94,7 +94,7 @@
 
     async def open(self, sidecars: int, relays: int) -> None:
         self.sidecars = sidecars
-        self.registry = await self._spawn("registry", "0", str(SERVERS))
+        self.registry = await self._spawn("registry", str(SERVERS))
         address = str((await self.registry.hear())["address"])
         ports = _free_ports(2 * relays)
         addresses = [f"127.0.0.1:{port}" for port in ports[:relays]] or [address]
--- a/bench/scale_hollow.py
+++ b/bench/scale_hollow.py
@@ -1,6 +1,6 @@
 """Parts of the fan-out bench that run as processes of their own: the registry, and many hollow sidecars.
 
-    scale_hollow.py registry PORT SERVERS      # reads commands, writes JSON lines
+    scale_hollow.py registry SERVERS           # reads commands, writes JSON lines
     scale_hollow.py sidecars COUNT FIRST SERVERS ADDRESS...
 
 A hollow sidecar is the real module, the real discovery client and the list; it has no clients and no servers.
@@ -21,7 +21,7 @@
 import earlier  # noqa: F401  # makes the tests' stand-ins known
 from helpers import settings
 from registry import Registry
-from scale_edge import entry
+from scale_edge import change, entry
 
 from topazbank import Balancer
 from topazbank.interface import ListKind, ServersListed
@@ -45,10 +45,9 @@
     return reader
 
 
-async def run_registry(port: int, servers: int) -> None:
+async def run_registry(servers: int) -> None:
     """Hold a list until the input ends: `change N` changes N entries one by one, `calls` tells the calls."""
     registry = Registry([entry(number) for number in range(servers)], index=1)
-    registry._port = port
     await registry.start()
     say(address="{}:{}".format(*registry.address))
     reader, turn = await lines(), 0
@@ -73,7 +72,6 @@
     number: int
     sources: list[Address]
     balancer: Balancer
-    bytes_in: int = 0
     applied: list[tuple[float, int, int]] = field(default_factory=list)  # when, from which index, to which
     index: int = 1
     client: Discovery | None = None
@@ -101,7 +99,7 @@
     relays = [RelayAddress(each) for each in addresses]
     given = settings(group_size=count)
     known = [entry(number) for number in range(servers)]
-    listed = [each.server for each in _parsed(known).entries]
+    listed = [each.server for each in change(1, *known).entries]
     members = []
     for number in range(first, first + count):
         balancer = Balancer(given, number)
@@ -119,17 +117,11 @@
             each.applied = []
 
 
-def _parsed(known: list[dict[str, Any]]) -> ListUpdate:
-    from topazbank.net.endpoint_list import parse_list
-
-    return parse_list({"index": 1, "snapshot": True, "endpoints": known})
-
-
 def main() -> None:
     logging.disable(logging.CRITICAL)
     role, *given = sys.argv[1:]
     if role == "registry":
-        asyncio.run(run_registry(int(given[0]), int(given[1])))
+        asyncio.run(run_registry(int(given[0])))
     else:
         addresses = [parse_address(each) for each in given[3:]]
         asyncio.run(run_sidecars(int(given[0]), int(given[1]), int(given[2]), addresses))
--- a/tests/cluster/test_relays.py
+++ b/tests/cluster/test_relays.py
@@ -222,6 +222,19 @@
     play(scene())
 
 
+async def ends_with_one_line(*command: str, **environ: str) -> None:
+    """Start a program with a bad configuration: it ends with exit code 2 and says why in one line."""
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", *command),
+        cwd=ROOT,
+        env=os.environ | environ,
+        stderr=asyncio.subprocess.PIPE,
+    )
+    _, said = await asyncio.wait_for(process.communicate(), PATIENCE_S)
+    assert process.returncode == 2
+    assert said.startswith(b"bad configuration: ") and said.count(b"\n") == 1
+
+
 @pytest.mark.parametrize(
     "config",
     [
@@ -242,13 +255,7 @@
     async def scene() -> None:
         path = tmp_path / "relay.toml"
         path.write_text(config)
-        process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "topazbank.cli", "relay", "--config", str(path), cwd=ROOT,
-            stderr=asyncio.subprocess.PIPE,
-        )  # fmt: skip
-        _, said = await asyncio.wait_for(process.communicate(), PATIENCE_S)
-        assert process.returncode == 2
-        assert said.startswith(b"bad configuration: ") and said.count(b"\n") == 1
+        await ends_with_one_line("topazbank.cli", "relay", "--config", str(path))
 
     play(scene())
 
@@ -271,12 +278,6 @@
         given = {"listen": "127.0.0.1:9", "discovery": "127.0.0.1:1", "settings": {"lanes": LANES}}
         config.write_text(json.dumps(given))
         own.write_text(relays)
-        process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "topazbank", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
-            env=os.environ | {"RELAY_CONFIG": str(config), "WEIRLOCK_CONFIG": str(own)},
-        )  # fmt: skip
-        _, said = await asyncio.wait_for(process.communicate(), PATIENCE_S)
-        assert process.returncode == 2
-        assert said.startswith(b"bad configuration: ") and said.count(b"\n") == 1
+        await ends_with_one_line("topazbank", RELAY_CONFIG=str(config), WEIRLOCK_CONFIG=str(own))
 
     play(scene())
--- a/topazbank/net/discovery.py
+++ b/topazbank/net/discovery.py
@@ -16,6 +16,7 @@
 import h11
 
 from topazbank.net.endpoint_list import LIST_MOST_BYTES, ListUpdate, read_list
+from topazbank.net.queueing import PollTimes
 from topazbank.net.sources import STALE_S, SourceSelector
 from topazbank.net.upstream import Address, Connection, Response, connect
 
@@ -69,26 +70,26 @@
     def __init__(
         self,
         sources: Sequence[Address],
-        version: int,
+        version: int | None,
         told: Callable[[ListUpdate | None, bool], None],
         again_s: float = 25.0,
         chance: Callable[[], float] = random.random,
-        unread_since: Callable[[], float] = lambda: math.inf,
+        poll_times: PollTimes | None = None,
         wait_ms: int | None = None,
     ) -> None:
         """Watch from `version` on, at the first of `sources` that answers, in order of preference.
 
         `told` takes an answer, or, once all sources failed, None and whether the last call fell silent.
-        `unread_since` tells since when the input of this step of the event loop may have waited.
+        `version` None: no list is held.  `poll_times` tell how long input may have waited unread.
         """
         self._sources = SourceSelector(sources, chance)
-        self._version: int | None = version  # None: the whole list is needed first
+        self._version = version  # None: the whole list is needed first
         self._tag: str | None = None  # of the list that is held, where a relay told it
         self._as_of = -math.inf  # on the event loop's clock: the list that is held is no older than this
         self._told = told
         self._again_s = again_s
         self._chance = chance
-        self._unread_since = unread_since
+        self._poll_times = poll_times or PollTimes(math.inf)
         self._wait_ms = wait_ms
         self._moves = 0  # what was asked before the last of them counts no more
         self._silent = False  # the last call was not answered
@@ -117,10 +118,6 @@
         """Ask for what changed since this version, before anything was asked."""
         self._version = version
 
-    def forget(self) -> None:
-        """Ask for the whole list next: none is held."""
-        self._version = self._tag = None
-
     def follow(self, wanted: bool) -> None:
         """Begin a watch or end it; one that is under way goes on."""
         if not wanted:
@@ -245,7 +242,7 @@
 
     def _arrived_at(self) -> float:
         """When what was read in this step had arrived, at the earliest."""
-        return min(asyncio.get_running_loop().time(), self._unread_since())
+        return min(asyncio.get_running_loop().time(), self._poll_times.unread_since)
 
     def _is_older(self, version: int, as_of: float) -> bool:
         """Whether a list as of that time is, or may be, older than the one held."""
--- a/topazbank/net/frontend.py
+++ b/topazbank/net/frontend.py
@@ -202,9 +202,8 @@
         self._body_from = 0.0  # since when its body is counted
         self._body_came = 0  # bytes of it since then
         self._came_at = 0.0  # when the last of them came
-        self._unread_since: float | None = (
-            established_after  # nothing was read since then; None: it is polled
-        )
+        # Since when nothing was read; None: it is polled in each step.
+        self._unread_since: float | None = established_after
         self._arrived_at = 0.0  # when what was read last had arrived in the kernel, at the earliest
         # It sent too far ahead: it is read no more but for its end, which its answer brings.
         self._drops = False
--- a/topazbank/net/proxy.py
+++ b/topazbank/net/proxy.py
@@ -41,7 +41,7 @@
 
 log = logging.getLogger(__name__)
 
-_TRAILS = 20  # and of how many requests that ended badly, at most, in that time
+_TRAILS = 20  # requests that ended badly, at most, that are logged until the log is told how things stand
 _ABOUT_BODY = (b"content-type", b"content-encoding")  # of a server's headers, these go to the client
 
 
--- a/topazbank/net/queueing.py
+++ b/topazbank/net/queueing.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import selectors
 import socket
 import struct
@@ -62,6 +63,12 @@
         super().__init__(selector)
 
 
+def running_poll_times() -> PollTimes:
+    """Return the poll times of the running loop; where it keeps none, input is never known to have waited."""
+    known: PollTimes | None = getattr(asyncio.get_running_loop(), "poll_times", None)
+    return known or PollTimes(math.inf)
+
+
 class BacklogAge:
     """Bounds how long connections waited in the backlog of a listening socket, which is a queue.
 
--- a/topazbank/net/sidecar.py
+++ b/topazbank/net/sidecar.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import math
 import time
 from collections import Counter
 from collections.abc import Callable
@@ -31,7 +30,7 @@
 from topazbank.net.operations import EVACUATION_KEPT_S, Operations
 from topazbank.net.orders import Orders
 from topazbank.net.proxy import Proxy, by_status
-from topazbank.net.queueing import PollTimes
+from topazbank.net.queueing import running_poll_times
 from topazbank.net.streams import Budget
 from topazbank.net.timers import Timers
 from topazbank.views import asked_per_s, state_line
@@ -69,9 +68,12 @@
         self._engine = Engine(settings, config.seed, self._timers)
         budget = Budget(config.memory_mb)
         connections_most = max((config.sockets - _FDS_KEPT) // 2, 1)  # on either side
-        poll_times = getattr(asyncio.get_running_loop(), "poll_times", None)
+        poll_times = running_poll_times()
         self._upstream = _upstream(settings, connections_most, budget)
-        self._discovery = self._discovery_client(config, poll_times)
+        again_s = _UNHEARD_SPANS * settings.rules.ask_within_us / 1e6
+        self._discovery = Discovery(
+            config.sources(), config.known.version, self._told, again_s, poll_times=poll_times
+        )
         latencies = _latencies(config)
         self.proxy = Proxy(settings, self._engine, self._upstream, latencies)
         hooks = Hooks(self.proxy.taken, self.proxy.gone, self._is_ready, self.proxy.body_ended)
@@ -109,16 +111,6 @@
         }
         self._engine.executors |= executors
 
-    def _discovery_client(self, config: Config, poll_times: PollTimes | None) -> Discovery:
-        again_s = _UNHEARD_SPANS * self._settings.rules.ask_within_us / 1e6
-
-        def unread_since() -> float:
-            return poll_times.unread_since if poll_times is not None else math.inf
-
-        return Discovery(
-            config.sources(), config.known.version, self._told, again_s, unread_since=unread_since
-        )
-
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until `stop`, then answer all that is held and return, with nothing left behind."""
         lag = asyncio.get_running_loop().create_task(self._watch_lag())
--- a/topazbank/relay/app.py
+++ b/topazbank/relay/app.py
@@ -6,7 +6,6 @@
 import gc
 import json
 import logging
-import math
 import random
 import signal
 import sys
@@ -15,7 +14,7 @@
 from topazbank.net.admin import Door
 from topazbank.net.discovery import Discovery
 from topazbank.net.endpoint_list import ListUpdate
-from topazbank.net.queueing import PollTimes, TimedLoop
+from topazbank.net.queueing import TimedLoop, running_poll_times
 from topazbank.relay.caller import Caller
 from topazbank.relay.changelog import ChangeLog
 from topazbank.relay.config import RelayConfig, read_relay_config
@@ -32,16 +31,11 @@
 class Relay:
     """One relay: its watch, its change log and its callers."""
 
-    def __init__(self, config: RelayConfig, poll_times: PollTimes | None = None) -> None:
+    def __init__(self, config: RelayConfig) -> None:
         self._config = config
         self._discovery = Discovery(
-            config.upstreams,
-            0,
-            self._told,
-            unread_since=lambda: poll_times.unread_since if poll_times is not None else math.inf,
-            wait_ms=UPSTREAM_WAIT_MS,
+            config.upstreams, None, self._told, poll_times=running_poll_times(), wait_ms=UPSTREAM_WAIT_MS
         )
-        self._discovery.forget()  # nothing is held: the whole list first
         self.service = RelayService(ChangeLog(), config.limits, self._discovery.as_of)
         self._retry: asyncio.TimerHandle | None = None
         self._server: asyncio.Server | None = None
@@ -100,12 +94,12 @@
             log.info("relay: %s", self._tell_status(""), extra={"kind": "relay_state"})
 
 
-async def _serve(config: RelayConfig, poll_times: PollTimes) -> None:
+async def _serve(config: RelayConfig) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for each in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(each, stop.set)
-    await Relay(config, poll_times).run(stop)
+    await Relay(config).run(stop)
 
 
 def main(path: str) -> int:
@@ -117,10 +111,9 @@
         return 2
     start_log(config.logging)
     gc.freeze()
-    loop = TimedLoop()
     try:
-        with asyncio.Runner(loop_factory=lambda: loop) as runner:
-            runner.run(_serve(config, loop.poll_times))
+        with asyncio.Runner(loop_factory=TimedLoop) as runner:
+            runner.run(_serve(config))
     except OSError as fault:
         print(f"can't serve: {fault}", file=sys.stderr)
         return 1
--- a/topazbank/relay/caller.py
+++ b/topazbank/relay/caller.py
@@ -3,29 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import socket
+from collections.abc import Callable
+from http import HTTPStatus
 from typing import Protocol
 
 import h11
 
-from topazbank.relay.requests import BadCall, ListCall, read_call
-
-log = logging.getLogger(__name__)
+from topazbank.net.admin import Declined
+from topazbank.relay.requests import ListCall, read_call
 
 HEAD_WITHIN_S = 2.0  # what a call may take to come
 ANSWER_WITHIN_S = 5.0  # what a caller may take to read its answer
 _HEAD_MOST = 8 * 1024  # bytes of a call's head
 _SEND_BUFFER = 256 * 1024  # bytes that the kernel may hold for a caller
 _PIECE = 64 * 1024  # bytes written at a time: no more of an answer is held for a slow caller
-_REASONS = {
-    200: b"OK",
-    400: b"Bad Request",
-    404: b"Not Found",
-    405: b"Method Not Allowed",
-    408: b"Request Timeout",
-    503: b"Service Unavailable",
-}
 
 Headers = list[tuple[str, str]]
 
@@ -39,7 +31,7 @@
     def called(self, caller: Caller, call: ListCall | None) -> None:
         """Answer a call, now or later.  None asks for readiness."""
 
-    def rejected(self, caller: Caller, bad: BadCall) -> None:
+    def rejected(self, caller: Caller, bad: Declined) -> None:
         """Count a call that is no proper one; it has been answered."""
 
     def dropped(self, caller: Caller) -> None:
@@ -90,8 +82,8 @@
             self._h11.receive_data(data)
             call = self._read()
         except h11.RemoteProtocolError as bad:
-            self._reject(BadCall(400, str(bad)[:100]))
-        except BadCall as bad:
+            self._reject(Declined(400, str(bad)[:100]))
+        except Declined as bad:
             self._reject(bad)
         else:
             if call is not None:
@@ -106,19 +98,19 @@
             if isinstance(event, h11.Request):
                 self._head = event
             elif isinstance(event, h11.Data):
-                raise BadCall(400, "a call has no body")
+                raise Declined(400, "a call has no body")
             elif isinstance(event, h11.EndOfMessage) and self._head is not None:
                 return (read_call(self._head),)
             else:
                 return None
 
-    def _reject(self, bad: BadCall) -> None:
+    def _reject(self, bad: Declined) -> None:
         self._asked = True
         self._handler.rejected(self, bad)
         self.answer(bad.status, [("Content-Type", "text/plain")], f"{bad}\n".encode())
 
     def _head_late(self) -> None:
-        self._reject(BadCall(408, "the call did not come in time"))
+        self._reject(Declined(408, "the call did not come in time"))
 
     def answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Write the answer and end the connection; a caller that has gone is passed over."""
@@ -127,7 +119,7 @@
             return
         self._cancel_timers()
         self._set_deadline(ANSWER_WITHIN_S, self._too_slow)
-        lines = [f"HTTP/1.1 {status} {_REASONS.get(status, b'').decode()}"]
+        lines = [f"HTTP/1.1 {status} {HTTPStatus(status).phrase}"]
         lines += [f"{name}: {value}" for name, value in headers]
         lines += [f"Content-Length: {len(body)}", "Connection: close", "", ""]
         self._body = memoryview(body)
@@ -162,8 +154,8 @@
         if self._transport is not None:
             self._transport.abort()
 
-    def _set_deadline(self, within_s: float, late: object) -> None:
-        self._deadline = asyncio.get_running_loop().call_later(within_s, late)  # type: ignore[arg-type]
+    def _set_deadline(self, within_s: float, late: Callable[[], None]) -> None:
+        self._deadline = asyncio.get_running_loop().call_later(within_s, late)
 
     def _cancel_timers(self) -> None:
         for timer in (self._deadline, self.wait):
--- a/topazbank/relay/config.py
+++ b/topazbank/relay/config.py
@@ -35,9 +35,9 @@
     if unknown := sorted(set(given) - _KEYS):
         raise ValueError(f"{unknown[0]:.60}: no such key; known are {', '.join(sorted(_KEYS))}")
     return RelayConfig(
-        listen=_address(given, "listen"),
+        listen=_address(given.get("listen"), "listen"),
         upstreams=_upstreams(given),
-        mgmt=_address(given, "mgmt") if "mgmt" in given else None,
+        mgmt=_address(given["mgmt"], "mgmt") if "mgmt" in given else None,
         limits=Limits(
             connections=_number(given, "connections", Limits().connections, CONNECTIONS_MOST),
             snapshots=_number(given, "snapshots", Limits().snapshots, SNAPSHOTS_MOST),
@@ -46,8 +46,7 @@
     )
 
 
-def _address(given: Mapping[str, Any], key: str) -> Address:
-    value = given.get(key)
+def _address(value: object, key: str) -> Address:
     if not isinstance(value, str):
         raise ValueError(f"{key}: an address is needed")
     try:
@@ -60,7 +59,7 @@
     value = given.get("upstreams")
     if not isinstance(value, list) or not 1 <= len(value) <= UPSTREAMS_MOST:
         raise ValueError(f"upstreams: a list of 1 to {UPSTREAMS_MOST} addresses is needed")
-    found = tuple(_address({"upstreams": each}, "upstreams") for each in value)
+    found = tuple(_address(each, "upstreams") for each in value)
     if len(set(found)) < len(found):
         raise ValueError("upstreams: an address is there twice")
     return found
--- a/topazbank/relay/requests.py
+++ b/topazbank/relay/requests.py
@@ -7,6 +7,7 @@
 
 import h11
 
+from topazbank.net.admin import Declined
 from topazbank.net.discovery import AGE_HEADER, LIST_PATH
 
 READY_PATH = "/health/ready"
@@ -15,14 +16,6 @@
 _TAG_MOST = 64  # characters of an entity tag; a relay's own are shorter
 
 
-class BadCall(Exception):
-    """A call that is refused; the status tells why."""
-
-    def __init__(self, status: int, why: str) -> None:
-        super().__init__(why)
-        self.status = status
-
-
 @dataclass(frozen=True, slots=True)
 class ListCall:
     """A call for the list: all of it, or a watch for what changed."""
@@ -34,13 +27,13 @@
 
 
 def read_call(head: h11.Request) -> ListCall | None:
-    """Read a call; None asks whether the relay is ready.  Raises BadCall."""
+    """Read a call; None asks whether the relay is ready.  Raises Declined."""
     target = head.target.decode("latin-1")
     path, _, query = target.partition("?")
     if path not in (LIST_PATH, READY_PATH):
-        raise BadCall(404, "no such path")
+        raise Declined(404, "no such path")
     if head.method != b"GET":
-        raise BadCall(405, "GET is needed")
+        raise Declined(405, "GET is needed")
     if path == READY_PATH:
         return None
     given = dict(parse_qsl(query, keep_blank_values=True))
@@ -56,5 +49,5 @@
 
 def _number(text: str, name: str) -> int:
     if not (text.isascii() and text.isdigit()) or len(text) > _INDEX_DIGITS:
-        raise BadCall(400, f"{name}: a whole number is needed")
+        raise Declined(400, f"{name}: a whole number is needed")
     return int(text)
--- a/topazbank/relay/service.py
+++ b/topazbank/relay/service.py
@@ -8,12 +8,13 @@
 from collections.abc import Callable
 from dataclasses import asdict, dataclass
 
+from topazbank.net.admin import Declined
 from topazbank.net.discovery import AGE_HEADER, TAG_HEADER
 from topazbank.net.endpoint_list import ListUpdate
 from topazbank.net.sources import STALE_S
 from topazbank.relay.caller import Caller, Headers
 from topazbank.relay.changelog import ChangeLog
-from topazbank.relay.requests import BadCall, ListCall
+from topazbank.relay.requests import ListCall
 
 log = logging.getLogger(__name__)
 
@@ -85,6 +86,9 @@
     def _start_broadcast(self) -> None:
         self._broadcast = None
         self._broadcast_at = asyncio.get_running_loop().time()
+        self._answer_watchers()
+
+    def _answer_watchers(self) -> None:
         self._answer_in_steps(deque(self._watchers))
 
     def _answer_in_steps(self, callers: deque[Caller]) -> None:
@@ -102,7 +106,7 @@
             self._staleness.cancel()
         if not self._is_closed:
             due = self._as_of() + STALE_S + 0.001
-            self._staleness = asyncio.get_running_loop().call_at(due, self._start_broadcast)
+            self._staleness = asyncio.get_running_loop().call_at(due, self._answer_watchers)
 
     # -- Callers ------------------------------------------------------------------------------------------
 
@@ -212,7 +216,7 @@
 
     # -- Ends ---------------------------------------------------------------------------------------------
 
-    def rejected(self, caller: Caller, bad: BadCall) -> None:
+    def rejected(self, caller: Caller, bad: Declined) -> None:
         self._unasked.pop(caller, None)
         self.counters.rejected += 1
         log.info("a call was refused: %d %.80s", bad.status, bad, extra={"kind": "relay_rejected"})
