Retry a streamed body from its beginning, or not at all

Cause: Upload.discard dropped the data that waited for an attempt which ended before it read anything (a reset between the end of the dial and the write of the head). It left `consumed` unset, so a retry was allowed and sent the rest, and it did not resume a client paused by the full buffer.

Change: an attempt attaches to the body and detaches at its end; only a read removes data, and it marks the body as consumed. A streamed body has one attempt at a time: the decisions permit no hedge beside a pending attempt (Request.is_streamed), and the pool doesn't send one whose body is taken.

Why it works: data leaves the buffer in one place, which also records that no other attempt may start and resumes the client.

--- a/sidecar_balancer/policy/request.py
+++ b/sidecar_balancer/policy/request.py
@@ -42,6 +42,9 @@
     failed_servers: list[Server] = field(default_factory=list)  # includes servers that rejected the request
     rejections: int = 0
     answered: bool = False
+    is_streamed: bool = (
+        False  # the body is not buffered as a whole, so only one attempt at a time can send it
+    )
     body_consumed: bool = False  # the body is no longer buffered as a whole and can't be sent again
 
     def has_pending_attempt(self) -> bool:
@@ -61,6 +64,6 @@
 
         Classes with idempotency keys are treated as non-idempotent.
         """
-        if self.body_consumed:
+        if self.body_consumed or (self.is_streamed and self.has_pending_attempt()):
             return False
         return not self.may_have_run() or self.service_class.idempotency is Idempotency.IDEMPOTENT
--- a/sidecar_balancer/runtime/streams.py
+++ b/sidecar_balancer/runtime/streams.py
@@ -122,18 +122,16 @@
         """End a response that can't be completed, so that the client can detect that it is incomplete."""
 
 
-def _ignore() -> None:
-    pass
-
-
 class Upload:
     """The body of a request that is streamed to a server; data that was read is not kept.
 
+    One attempt reads it at a time.  An attempt that ends before it has read anything leaves the body
+    complete for the next one.
+
     Attributes:
         length: The length in bytes; None if the client did not announce it.
         consumed: Whether data was read, in which case the request can't be retried.
         is_complete: Whether the last byte was received.
-        on_data: Called when there is more to read or the body is complete.
     """
 
     def __init__(self, length: int | None, on_drained: Callable[[], None]) -> None:
@@ -141,7 +139,7 @@
         self.length = length
         self.consumed = False
         self.is_complete = False
-        self.on_data: Callable[[], None] = _ignore
+        self._on_data: Callable[[], None] | None = None  # set while an attempt reads the body
         self._on_drained = on_drained
         self._buffer = bytearray()
 
@@ -149,15 +147,30 @@
         """Return whether reading from the client must pause."""
         return len(self._buffer) > MAX_BUFFERED_BODY_BYTES
 
+    def is_available(self) -> bool:
+        """Return whether an attempt may start to read: no other one has read data or may still do so."""
+        return not self.consumed and self._on_data is None
+
+    def attach(self, on_data: Callable[[], None]) -> None:
+        """Start to read; `on_data` is called when there is more to read or the body is complete."""
+        assert self.is_available()
+        self._on_data = on_data
+
+    def detach(self) -> None:
+        """Stop reading; data that was not read stays in the buffer."""
+        self._on_data = None
+
     def feed(self, data: bytes | bytearray) -> None:
         """Append received bytes."""
         self._buffer += data
-        self.on_data()
+        if self._on_data is not None:
+            self._on_data()
 
     def end(self) -> None:
         """Mark the body as complete."""
         self.is_complete = True
-        self.on_data()
+        if self._on_data is not None:
+            self._on_data()
 
     def read(self) -> bytes:
         """Return and remove all buffered data."""
@@ -167,8 +180,3 @@
             self.consumed = True
             self._on_drained()
         return data
-
-    def discard(self) -> None:
-        """Discard the buffered data, as the rest of the body will not be read."""
-        self._buffer.clear()
-        self.on_data = _ignore
--- a/sidecar_balancer/upstream/endpoint_pool.py
+++ b/sidecar_balancer/upstream/endpoint_pool.py
@@ -182,6 +182,11 @@
         exchange.endpoint.dialing.discard(exchange)
         remaining_s = exchange.deadline - asyncio.get_running_loop().time()
         request = exchange.request
+        if request.upload is not None and not request.upload.is_available():
+            extra = {"event": "body_unavailable", "server": exchange.endpoint.name}
+            log.error("another attempt has read the request's body", extra=extra)
+            exchange.end(Outcome.UNSENT)  # what is left of the body would be a request that nobody sent
+            return
         try:
             head = request.build_head(max(remaining_s, 0.0))
             on_response = partial(self._response_received, exchange, connection)
--- a/sidecar_balancer/upstream/request_connection.py
+++ b/sidecar_balancer/upstream/request_connection.py
@@ -70,7 +70,7 @@
             head: The request's head.
             body: The body, if it is buffered.
             on_response: Called once, with the complete response or with None if the exchange failed.
-            upload: The streamed body, in place of `body`.
+            upload: The streamed body, in place of `body`; it must be available.
             start_streaming: Returns the sink of a response that is too long to be buffered, which is then
                 reported without its body.  If None, such a response fails.
 
@@ -87,7 +87,7 @@
             self._upload = upload
             self._transport.write(data)
             self._check_progress()
-            upload.on_data = self._write_upload
+            upload.attach(self._write_upload)
             self._write_upload()
             return
         events = [h11.Data(data=body), h11.EndOfMessage()] if body else [h11.EndOfMessage()]
@@ -109,16 +109,16 @@
                 self._progress += len(data)
                 self._transport.write(self._h11.send(h11.Data(data=data)) or b"")
             elif self._upload.is_complete:
-                self._discard_upload()
+                self._detach_upload()
                 self._transport.write(self._h11.send(h11.EndOfMessage()) or b"")
                 self._update_written()
             else:
                 return
 
-    def _discard_upload(self) -> None:
+    def _detach_upload(self) -> None:
         upload, self._upload = self._upload, None
         if upload is not None:
-            upload.discard()
+            upload.detach()
 
     def pause_writing(self) -> None:
         """Pause writing until the server has read."""
--- a/sidecar_balancer/upstream/server_connection.py
+++ b/sidecar_balancer/upstream/server_connection.py
@@ -245,7 +245,7 @@
 
     def _end_bodies(self, complete: bool) -> None:
         """Release the bodies that are buffered or streamed for the request that was in flight."""
-        self._discard_upload()
+        self._detach_upload()
         self._stop_buffering()
         if self._stall_timer is not None:
             self._stall_timer.cancel()
--- a/tests/downstream/test_upload_streaming.py
+++ b/tests/downstream/test_upload_streaming.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import math
+import socket
 
 import pytest
 
@@ -32,7 +33,10 @@
 from sidecar_balancer.downstream.client_connection import ClientConnection
 from sidecar_balancer.policy.events import AttemptEnded, RequestReceived
 from sidecar_balancer.policy.types import Outcome
-from sidecar_balancer.runtime.streams import MAX_BUFFERED_BODY_BYTES
+from sidecar_balancer.runtime.streams import MAX_BUFFERED_BODY_BYTES, BodyMemory
+from sidecar_balancer.upstream import endpoint_pool
+from sidecar_balancer.upstream.dialing import connect
+from sidecar_balancer.upstream.server_connection import ServerConnection
 
 
 async def serve_uploads(reader: Reader, writer: Writer) -> None:
@@ -157,6 +161,82 @@
     run_scenario(scenario())
 
 
+def framed(body: bytes, form: str) -> bytes:
+    """Return a request with a long body, by its length or in chunks."""
+    if form == "length":
+        return request("pay", body=body)
+    head = request("pay", Content_Length=None, Transfer_Encoding="chunked")
+    return head + chunked(body, 300 if form == "small chunks" else 100_000)
+
+
+# Guards against a retry that sends a body without its beginning: what an attempt did not send was discarded.
+@pytest.mark.parametrize("failure", ["refused", "reset before the head"])
+@pytest.mark.parametrize("form", ["length", "chunks", "small chunks"])
+def test_body_that_no_attempt_has_sent_is_retried_from_its_beginning(
+    form: str, failure: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    dials = 0
+
+    async def scenario() -> None:
+        async def fail_first_dial(
+            address: tuple[str, int], max_body_bytes: int, body_memory: BodyMemory | None = None
+        ) -> ServerConnection:
+            nonlocal dials
+            dials += 1
+            if dials > 1:
+                return await connect(address, max_body_bytes, body_memory)
+            (client,) = environment.sidecar.frontend.connections
+            await wait_until(lambda: client._upload is not None and client._upload.is_full())
+            if failure == "refused":
+                raise ConnectionRefusedError
+            connection = await connect(address, max_body_bytes, body_memory)
+            connection.sock.shutdown(socket.SHUT_RDWR)  # a write now fails, as after a reset
+            return connection
+
+        async with sidecar_with_raw_server(serve_uploads, endpoints=2) as (environment, _):
+            monkeypatch.setattr(endpoint_pool, "connect", fail_first_dial)
+            events = environment.record_events()
+            reader, writer = await connect_client(environment)
+            writer.write(framed(LONG_BODY, form))
+            assert "200 ok" in await read_head(reader)
+            assert await reader.readexactly(5) == b"whole"
+            ended = [each for each in events if isinstance(each, AttemptEnded)]
+            assert [(each.outcome, each.body_consumed) for each in ended] == [
+                (Outcome.CONNECT_FAILED, False),
+                (Outcome.DELIVERED, True),
+            ]
+            writer.close()
+
+    run_scenario(scenario())
+
+
+# Guards against an attempt that sends only what another attempt has left of the body.
+def test_attempt_whose_body_another_attempt_has_read_is_not_sent() -> None:
+    async def scenario() -> None:
+        async with sidecar_with_raw_server(serve_uploads) as (environment, server):
+            reader, writer = await connect_client(environment)
+            writer.write(framed(LONG_BODY, "chunks")[:-1])
+            proxy = environment.sidecar.proxy
+            await wait_until(lambda: server.connections)
+            (live,) = proxy.in_flight.values()
+            upload = live.client_request.upload
+            assert upload is not None
+            await wait_until(lambda: upload.consumed)
+            outcomes: list[Outcome] = []
+            second = proxy._upstream_request(live, 1, "s-0", 0)
+            environment.sidecar.endpoint_pool.send(
+                "s-0", second, math.inf, lambda outcome, _: outcomes.append(outcome)
+            )
+            await wait_until(lambda: outcomes)
+            assert outcomes == [Outcome.UNSENT]
+            writer.write(b"\n")
+            assert "200 ok" in await read_head(reader)
+            assert await reader.readexactly(5) == b"whole"
+            writer.close()
+
+    run_scenario(scenario())
+
+
 def test_server_rejection_during_the_body_rejects_the_request() -> None:
     async def script(reader: Reader, writer: Writer) -> None:
         await read_head(reader)
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -19,6 +19,7 @@
 from sidecar_balancer.policy.events import (
     AttemptEnded,
     ListedServer,
+    RequestBodyEnded,
     RequestReceived,
 )
 from sidecar_balancer.policy.types import Outcome
@@ -120,6 +121,23 @@
     assert driver.actions_of(Reject) == []
 
 
+# Guards against a hedge that sends only what the first attempt has left of a streamed body.
+@pytest.mark.parametrize("is_streamed", [False, True])
+def test_only_a_request_with_a_buffered_body_is_hedged(is_streamed: bool) -> None:
+    driver = BalancerDriver()
+    driver.receive_list(server_names(5))
+    number = 77
+    driver.feed(RequestReceived(number, "look", None, None, 2 * S, body_open=is_streamed))
+    if is_streamed:
+        driver.feed(RequestBodyEnded(number, 2 * S))
+    for _ in range(10):  # responses of others show that its server alone does not respond
+        driver.advance(50 * MS)
+        other = driver.request()
+        if driver.target_of(other) != driver.target_of(number):
+            driver.end_attempt(other, Outcome.DELIVERED, answered=True)
+    assert (len(driver.attempts(number)) == 1) is is_streamed
+
+
 @pytest.mark.parametrize("outcome", [Outcome.REJECTED, Outcome.CONNECT_FAILED])
 def test_a_request_whose_body_is_consumed_is_rejected_without_a_retry(outcome: Outcome) -> None:
     driver = BalancerDriver()
--- a/tests/support/raw_server.py
+++ b/tests/support/raw_server.py
@@ -32,14 +32,15 @@
 
 @contextlib.asynccontextmanager
 async def sidecar_with_raw_server(
-    script: Script, **changes: object
+    script: Script, endpoints: int = 1, **changes: object
 ) -> AsyncIterator[tuple[SidecarEnvironment, RawServer]]:
-    """Run a sidecar whose only server is a `RawServer`."""
+    """Run a sidecar whose only server is a `RawServer`, listed under as many names as `endpoints`."""
     server = RawServer(script)
     await server.start()
-    async with running_sidecar(lambda *_: None, **changes) as environment:  # type: ignore[arg-type]
-        endpoint = environment.sidecar.endpoint_pool.endpoints["s-0"]
-        endpoint.address = server.address
+    scripts: list[Callable[..., None]] = [lambda *_: None] * endpoints
+    async with running_sidecar(*scripts, **changes) as environment:  # type: ignore[arg-type]
+        for endpoint in environment.sidecar.endpoint_pool.endpoints.values():
+            endpoint.address = server.address
         yield environment, server
     server.stop()
 
