Answer a request in time though its server does not read its long body

Cause: the deadline of a streamed request started when the sidecar had read the last byte. While the server doesn't read, the sidecar doesn't read the client; the rest waits in the kernel, where the client has written it.

Change: ArrivalEstimate keeps since when input may have been unread, over several pauses and reads that fill the buffer, until the kernel is empty and the client has had time to transmit more. The proxy checks an open body at the end of the client's time, counted from then, and reports RequestBodyOverdue, which the decisions answer. The check interval is 0.05 s at least, so that a budget near zero causes no timer that is due at once.

Why it works: a client can have sent its last byte no earlier than input was first left unread, so an answer one budget later is never late.

test_any_sequence.py counted a pending attempt as possibly executed while the body was still open, which no server can do ("A server begins a request once its last byte has come"). It now allows a rejection there, demands that an overdue request is answered at once, and allows a streamed request no second attempt beside a pending one, where hedging alone decided before.

--- a/sidecar_balancer/downstream/client_connection.py
+++ b/sidecar_balancer/downstream/client_connection.py
@@ -172,7 +172,8 @@
             self._discard_input(data)
             return
         self._deadline.last_input_at = now = asyncio.get_running_loop().time()
-        self._arrival.input_received(now)
+        is_drained = not self._read_was_full or has_no_unread_input(self._sock)
+        self._arrival.input_received(now, len(data), is_drained)
         try:
             self._h11.receive_data(data)
         except h11.RemoteProtocolError as error:
@@ -228,7 +229,9 @@
         else:
             self._transport.resume_reading()
             if was_paused:
-                self._deadline.restart_body(asyncio.get_running_loop().time())
+                now = asyncio.get_running_loop().time()
+                self._arrival.reading_resumed(now)
+                self._deadline.restart_body(now)
 
     def _handle_next_event(self) -> bool:
         if self._linger_deadline is not None or self._transport is None or self._transport.is_closing():
@@ -279,7 +282,7 @@
         """Stream a long body; its request is handled before the body is complete."""
         client_request = self._parse_request(head, b"")
         self._start_request_timer()
-        self._upload = client_request.upload = Upload(length, self._update_reading)
+        self._upload = client_request.upload = Upload(length, self._update_reading, self._input_unread_since)
         self._upload_bytes = len(self._body)
         self.body_memory.active_streams += 1
         self._upload.feed(self._body)
@@ -289,6 +292,12 @@
         self._owner.handler.request_received(client_request)
         self._update_reading()
 
+    def _input_unread_since(self) -> float | None:
+        """Return the time since which the rest of a request may have been sent; None if it was not."""
+        if not self._parse_scheduled and has_no_unread_input(self._sock):
+            self._arrival.input_drained(asyncio.get_running_loop().time())
+        return self._arrival.unread_since
+
     def _end_upload(self) -> None:
         if self._upload is not None:
             self._upload = None
--- a/sidecar_balancer/downstream/request.py
+++ b/sidecar_balancer/downstream/request.py
@@ -74,6 +74,17 @@
     response_writer: ResponseWriter
     upload: Upload | None = None
 
+    def remaining_s(self, now: float) -> float:
+        """Return the least time that may remain for a response at `now` on the event loop's clock.
+
+        The rest of a streamed body may have been sent while it was unread.
+        """
+        remaining_s = self.remaining_us / 1e6
+        if self.upload is None or self.upload.is_complete:
+            return remaining_s
+        unread_since = self.upload.unread_since()
+        return remaining_s if unread_since is None else max(remaining_s - (now - unread_since), 0.0)
+
 
 class RequestHandler(Protocol):
     """Handler of the requests of all client connections."""
--- a/sidecar_balancer/policy/events.py
+++ b/sidecar_balancer/policy/events.py
@@ -53,6 +53,16 @@
     remaining_us: int
 
 
+@dataclass(slots=True)
+class RequestBodyOverdue:
+    """The client of a request with an open body may have sent the last byte its whole time ago.
+
+    The rest of the body was not read for so long, as its server or the sidecar was too slow.
+    """
+
+    request: int
+
+
 @dataclass(slots=True)
 class ResponseStarted:
     """The streamed answer of an attempt has begun to reach the client, so the attempt is the final one."""
@@ -197,6 +207,7 @@
     EndpointListReceived
     | RequestReceived
     | RequestBodyEnded
+    | RequestBodyOverdue
     | ResponseStarted
     | AttemptEnded
     | ClientDisconnected
--- a/sidecar_balancer/policy/intake.py
+++ b/sidecar_balancer/policy/intake.py
@@ -6,7 +6,12 @@
 from collections.abc import Iterable
 
 from sidecar_balancer.policy.admission import AdmissionControl
-from sidecar_balancer.policy.events import ClientDisconnected, RequestBodyEnded, RequestReceived
+from sidecar_balancer.policy.events import (
+    ClientDisconnected,
+    RequestBodyEnded,
+    RequestBodyOverdue,
+    RequestReceived,
+)
 from sidecar_balancer.policy.latency import LatencyTracker
 from sidecar_balancer.policy.outliers import OutlierDetector
 from sidecar_balancer.policy.placement import Placement
@@ -64,7 +69,7 @@
         exponent = max(COST_EXPONENT_MIN, min(math.frexp(cost)[1], COST_EXPONENT_MAX))
         flow = Flow(service_class.name, event.tenant)
         request = Request(event.request, service_class, NO_DEADLINE, cost, flow, exponent)
-        request.is_streamed = event.body_open
+        request.is_streamed = request.body_open = event.body_open
         self._table.add(request)
         if not event.body_open:
             self._start_deadline(now, request, event.remaining_us)
@@ -78,6 +83,7 @@
         request = self._table.requests.get(event.request)
         if request is None or request.answered:
             return
+        request.body_open = False
         self._start_deadline(now, request, event.remaining_us)
         for attempt in request.attempts:
             if attempt.pending:
@@ -88,6 +94,12 @@
                     overdue_at, TimerKind.ATTEMPT_OVERDUE, request.request_id, attempt.index
                 )
 
+    def body_overdue(self, _now: int, event: RequestBodyOverdue) -> None:
+        """Give the final answer to a request whose client may have waited its whole time."""
+        request = self._table.requests.get(event.request)
+        if request is not None and request.body_open:
+            self._table.reject_or_fail(request)
+
     def client_disconnected(self, _now: int, event: ClientDisconnected) -> None:
         """Close a request whose client has disconnected: it needs no answer."""
         request = self._table.requests.get(event.request)
--- a/sidecar_balancer/policy/request.py
+++ b/sidecar_balancer/policy/request.py
@@ -45,6 +45,7 @@
     is_streamed: bool = (
         False  # the body is not buffered as a whole, so only one attempt at a time can send it
     )
+    body_open: bool = False  # the body is still arriving, so that no server can have received the last byte
     body_consumed: bool = False  # the body is no longer buffered as a whole and can't be sent again
 
     def has_pending_attempt(self) -> bool:
@@ -57,7 +58,9 @@
 
     def may_have_run(self) -> bool:
         """Return whether a server may have executed the request."""
-        return any(attempt.may_have_run for attempt in self.attempts)
+        return any(
+            attempt.may_have_run and not (attempt.pending and self.body_open) for attempt in self.attempts
+        )
 
     def permits_another_attempt(self) -> bool:
         """Return whether its class and body permit another attempt now.
--- a/sidecar_balancer/proxy/forwarding.py
+++ b/sidecar_balancer/proxy/forwarding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Iterable
 
 import h11
@@ -20,7 +21,7 @@
 
 def attempt_head(client_request: ClientRequest, remaining_s: float) -> h11.Request:
     """Return the request head of an attempt: the client's headers and the remaining time in seconds."""
-    remaining_s = min(remaining_s, client_request.remaining_us / 1e6)
+    remaining_s = min(remaining_s, client_request.remaining_s(asyncio.get_running_loop().time()))
     headers = [*client_request.headers, (b"X-Budget", b"%.6f" % remaining_s)]
     if not any(name == b"host" for name, _ in headers):
         headers.append((b"Host", _DEFAULT_HOST))
--- a/sidecar_balancer/proxy/in_flight.py
+++ b/sidecar_balancer/proxy/in_flight.py
@@ -24,6 +24,7 @@
         attempts_started: The number of attempts started so far.
         attempts: Attempts that have not ended, by their index; None while one is being started.
         failsafe_timer: Fails the request at its deadline if the balancer does not.
+        body_timer: Checks whether the client's time may be over while the body is still arriving.
         streamed_attempt: The index of the attempt whose response is streamed.
         first_byte_us: The time to the first byte of the streamed response.
         attempt_outcomes: Descriptions of how the attempts ended, for the log.
@@ -37,6 +38,7 @@
     attempts_started: int = 0
     attempts: dict[int, Exchange | None] = field(default_factory=dict)
     failsafe_timer: asyncio.TimerHandle | None = None
+    body_timer: asyncio.TimerHandle | None = None
     streamed_attempt: int | None = None
     first_byte_us: int = 0
     attempt_outcomes: list[str] = field(default_factory=list)
--- a/sidecar_balancer/proxy/proxy.py
+++ b/sidecar_balancer/proxy/proxy.py
@@ -18,6 +18,7 @@
     ClientDisconnected,
     HealthCheckEnded,
     RequestBodyEnded,
+    RequestBodyOverdue,
     RequestReceived,
     ResponseStarted,
 )
@@ -37,6 +38,8 @@
 if TYPE_CHECKING:
     from sidecar_balancer.observability.latency import LatencyHistograms
 
+_MIN_BODY_CHECK_INTERVAL_S = 0.05  # a client may announce a budget near zero and never complete its body
+
 
 class Proxy:
     """The requests in flight; each gets one response, and each of its attempts is ended.
@@ -88,6 +91,8 @@
         self.in_flight[request.request_id] = self.by_client_request[client_request] = request
         if client_request.upload is None:
             self._start_deadline(request)
+        else:
+            self._check_body_deadline_later(request)
         self._engine.handle(
             RequestReceived(
                 request.request_id,
@@ -101,8 +106,29 @@
             )
         )
 
+    def _check_body_deadline_later(self, request: InFlightRequest) -> None:
+        loop = asyncio.get_running_loop()
+        remaining_s = request.client_request.remaining_s(loop.time())
+        request.body_timer = loop.call_later(
+            max(remaining_s, _MIN_BODY_CHECK_INTERVAL_S), self._check_body_deadline, request
+        )
+
+    def _check_body_deadline(self, request: InFlightRequest) -> None:
+        """End a request whose client may have sent its last byte so long ago that its time is over."""
+        if request.client_request.remaining_s(asyncio.get_running_loop().time()) > 0.0:
+            self._check_body_deadline_later(request)
+            return
+        with self._engine.handle_first(RequestBodyOverdue(request.request_id)):
+            for attempt in list(request.attempts.values()):
+                if attempt is not None:
+                    self._endpoint_pool.end_if_blocked(attempt)
+        if not request.answered:
+            self.abandon(request.request_id)
+
     def _start_deadline(self, request: InFlightRequest) -> None:
         """Start the deadline of a request whose last byte has arrived."""
+        if request.body_timer is not None:
+            request.body_timer.cancel()
         clock = self._engine.clock
         request.received_at = clock.now()
         request.deadline = request.received_at + request.client_request.remaining_us
@@ -165,8 +191,9 @@
         request.answered = True
         if request.streamed_attempt is None:
             self.by_client_request.pop(request.client_request, None)
-        if request.failsafe_timer is not None:
-            request.failsafe_timer.cancel()
+        for timer in (request.failsafe_timer, request.body_timer):
+            if timer is not None:
+                timer.cancel()
         for attempt_index, attempt in list(request.attempts.items()):
             if attempt is not None and attempt_index != request.streamed_attempt:
                 self._endpoint_pool.cancel_unsent(attempt)
--- a/sidecar_balancer/runtime/streams.py
+++ b/sidecar_balancer/runtime/streams.py
@@ -56,6 +56,7 @@
         self._transport: asyncio.Transport | None = None
         self._body = bytearray()  # body of the message that is being received
         self._parse_scheduled = False  # parsing continues in the next turn
+        self._read_was_full = False  # the last read filled the buffer, so that more may be unread
 
     def get_buffer(self, _sizehint: int) -> memoryview:
         """Return the buffer for the next bytes received."""
@@ -63,6 +64,7 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Handle the bytes that were received into the buffer."""
+        self._read_was_full = nbytes >= self.body_memory.read_size()
         self.data_received(bytes(self.body_memory.read_view[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
@@ -132,11 +134,16 @@
         length: The length in bytes; None if the client did not announce it.
         consumed: Whether data was read, in which case the request can't be retried.
         is_complete: Whether the last byte was received.
+        unread_since: Returns the time, on the event loop's clock, since which the client may have sent the
+            rest without this process having read it; None if it has not.
     """
 
-    def __init__(self, length: int | None, on_drained: Callable[[], None]) -> None:
+    def __init__(
+        self, length: int | None, on_drained: Callable[[], None], unread_since: Callable[[], float | None]
+    ) -> None:
         """Create an empty body; `on_drained` is called each time that a read has emptied the buffer."""
         self.length = length
+        self.unread_since = unread_since
         self.consumed = False
         self.is_complete = False
         self._on_data: Callable[[], None] | None = None  # set while an attempt reads the body
--- a/sidecar_balancer/upstream/endpoint_pool.py
+++ b/sidecar_balancer/upstream/endpoint_pool.py
@@ -171,6 +171,12 @@
         if exchange.connection is None or not exchange.connection.written:
             exchange.end(Outcome.UNSENT)
 
+    @staticmethod
+    def end_if_blocked(exchange: Exchange) -> None:
+        """End an exchange whose server does not take the request, as a failure of that server."""
+        if exchange.connection is None or exchange.connection.awaits_reader:
+            exchange.end(Outcome.CONNECT_FAILED)
+
     @staticmethod
     def _deadline_passed(exchange: Exchange) -> None:
         connection = exchange.connection
--- a/sidecar_balancer/upstream/request_connection.py
+++ b/sidecar_balancer/upstream/request_connection.py
@@ -46,6 +46,11 @@
         """Whether the request's last byte has gone to the kernel."""
         return self._written
 
+    @property
+    def awaits_reader(self) -> bool:
+        """Whether written data waits because the server does not read."""
+        return self._write_buffer_full
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
         assert isinstance(transport, asyncio.Transport)
--- a/tests/downstream/test_upload_streaming.py
+++ b/tests/downstream/test_upload_streaming.py
@@ -25,6 +25,7 @@
     Writer,
     chunked,
     connect_client,
+    framed_request,
     read_chunked,
     read_head,
     sidecar_with_raw_server,
@@ -161,14 +162,6 @@
     run_scenario(scenario())
 
 
-def framed(body: bytes, form: str) -> bytes:
-    """Return a request with a long body, by its length or in chunks."""
-    if form == "length":
-        return request("pay", body=body)
-    head = request("pay", Content_Length=None, Transfer_Encoding="chunked")
-    return head + chunked(body, 300 if form == "small chunks" else 100_000)
-
-
 # Guards against a retry that sends a body without its beginning: what an attempt did not send was discarded.
 @pytest.mark.parametrize("failure", ["refused", "reset before the head"])
 @pytest.mark.parametrize("form", ["length", "chunks", "small chunks"])
@@ -197,7 +190,7 @@
             monkeypatch.setattr(endpoint_pool, "connect", fail_first_dial)
             events = environment.record_events()
             reader, writer = await connect_client(environment)
-            writer.write(framed(LONG_BODY, form))
+            writer.write(framed_request(LONG_BODY, form))
             assert "200 ok" in await read_head(reader)
             assert await reader.readexactly(5) == b"whole"
             ended = [each for each in events if isinstance(each, AttemptEnded)]
@@ -215,7 +208,7 @@
     async def scenario() -> None:
         async with sidecar_with_raw_server(serve_uploads) as (environment, server):
             reader, writer = await connect_client(environment)
-            writer.write(framed(LONG_BODY, "chunks")[:-1])
+            writer.write(framed_request(LONG_BODY, "chunks")[:-1])
             proxy = environment.sidecar.proxy
             await wait_until(lambda: server.connections)
             (live,) = proxy.in_flight.values()
--- a/tests/policy/test_any_sequence.py
+++ b/tests/policy/test_any_sequence.py
@@ -39,6 +39,7 @@
     HealthCheckEnded,
     ListedServer,
     RequestBodyEnded,
+    RequestBodyOverdue,
     RequestReceived,
     ResponseStarted,
     ServerOverrideRequested,
@@ -81,10 +82,15 @@
     deadline: int
     remaining_us: int
     late_on_arrival: bool
+    is_streamed: bool = False
     body_consumed: bool = False
     answered: bool = False
     attempts: list[TrackedAttempt] = field(default_factory=list)
 
+    @property
+    def body_open(self) -> bool:
+        return self.deadline == FOREVER
+
 
 class RuleChecker:
     """Tracks the state of clients, servers and the list, and checks each action against the rules."""
@@ -156,7 +162,7 @@
         assert action.server not in self.disabled, "sent to a disabled server"
         assert not request.body_consumed, "sent again after its body was consumed"
         assert len(request.attempts) < self.settings.limits.max_attempts, "more attempts than allowed"
-        if not self.settings.limits.may_hedge:
+        if request.is_streamed or not self.settings.limits.may_hedge:
             assert not any(attempt.pending for attempt in request.attempts), "concurrent attempts"
         self.check_execution(request, entry)
         request.attempts.append(TrackedAttempt(action.server, entry, self.now))
@@ -179,7 +185,8 @@
         return [
             attempt
             for attempt in request.attempts
-            if attempt.pending or attempt.outcome not in self.outcomes_without_execution
+            if (attempt.pending and not request.body_open)
+            or (not attempt.pending and attempt.outcome not in self.outcomes_without_execution)
         ]
 
     def check_final_answer(self, action: Reject | Fail) -> None:
@@ -217,16 +224,23 @@
             deadline=FOREVER if body_open else self.now + remaining_us,
             remaining_us=remaining_us,
             late_on_arrival=remaining_us <= 2 * TICK,
+            is_streamed=body_open,
         )
         self.feed(RequestReceived(number, service_class, None, None, remaining_us, body_open=body_open))
 
-    def end_body(self, choice: int) -> None:
-        waiting = [
-            number
-            for number, request in self.requests.items()
-            if request.deadline == FOREVER and not request.answered
+    def with_open_body(self) -> list[int]:
+        return [
+            number for number, request in self.requests.items() if request.body_open and not request.answered
         ]
-        if waiting:
+
+    def body_overdue(self, choice: int) -> None:
+        if waiting := self.with_open_body():
+            number = waiting[choice % len(waiting)]
+            self.feed(RequestBodyOverdue(number))
+            assert self.requests[number].answered, "a request was left unanswered"
+
+    def end_body(self, choice: int) -> None:
+        if waiting := self.with_open_body():
             number = waiting[choice % len(waiting)]
             request = self.requests[number]
             request.deadline = self.now + request.remaining_us
@@ -260,7 +274,7 @@
             return
         number, index = pending[choice % len(pending)]
         request = self.requests[number]
-        if request.deadline == FOREVER:
+        if request.body_open:
             if outcome is Outcome.DELIVERED:
                 return  # no server responds before it has the complete request
             request.body_consumed = True
@@ -338,6 +352,7 @@
     arrivals,
     arrivals,
     st.tuples(st.just("end_body"), st.integers(0, 50)),
+    st.tuples(st.just("body_overdue"), st.integers(0, 50)),
     st.tuples(st.just("start_response"), st.integers(0, 50)),
     st.tuples(st.just("override"), st.sampled_from(SERVERS), st.booleans()),
     st.tuples(st.just("end_attempt"), st.integers(0, 50), st.sampled_from(list(Outcome))),
--- a/tests/policy/test_final_answers.py
+++ b/tests/policy/test_final_answers.py
@@ -19,6 +19,7 @@
     AttemptEnded,
     ClientDisconnected,
     RequestBodyEnded,
+    RequestBodyOverdue,
     RequestReceived,
     ResponseStarted,
 )
@@ -145,3 +146,28 @@
     driver.advance(2 * S)
     assert [action.request for action in driver.actions_of(Fail)] == [number]
     assert ended_at < next(at for at, each in driver.timeline if isinstance(each, Fail)) <= ended_at + 1 * S
+
+
+# Guards against a request that is never answered because its server does not read its body.
+def test_a_request_whose_body_is_overdue_is_rejected_as_no_server_has_all_of_it() -> None:
+    driver = BalancerDriver()
+    driver.receive_list(server_names(3))
+    number = 77
+    driver.feed(RequestReceived(number, "pay", None, None, 1 * S, body_open=True))
+    driver.advance(1 * S)
+    driver.feed(RequestBodyOverdue(number))
+    driver.feed(RequestBodyOverdue(number))
+    assert [action.request for action in driver.actions_of(Reject)] == [number]
+    assert [action.request for action in driver.actions_of(CancelAttempt)] == [number]
+    assert not driver.actions_of(Fail)
+
+
+def test_a_request_whose_body_has_ended_is_not_overdue_before_its_deadline() -> None:
+    driver = BalancerDriver()
+    driver.receive_list(server_names(3))
+    number = 77
+    driver.feed(RequestReceived(number, "pay", None, None, 1 * S, body_open=True))
+    driver.feed(RequestBodyEnded(number, 1 * S))
+    driver.feed(RequestBodyOverdue(number))
+    assert not driver.actions_of(Reject)
+    assert not driver.actions_of(Fail)
--- a/tests/support/raw_server.py
+++ b/tests/support/raw_server.py
@@ -6,7 +6,7 @@
 import contextlib
 from collections.abc import AsyncIterator, Awaitable, Callable
 
-from loopback import WAIT_TIMEOUT_S, LoopbackServer, SidecarEnvironment, running_sidecar
+from loopback import WAIT_TIMEOUT_S, LoopbackServer, SidecarEnvironment, request, running_sidecar
 
 LONG_BODY = bytes(range(251)) * 4_000  # about 1 MB, repeats every 251 bytes: misplaced pieces show
 HUGE_BODY_BYTES = 24 * 1024 * 1024
@@ -66,5 +66,13 @@
     return b"".join(b"%x;note=1\r\n%b\r\n" % (len(each), each) for each in chunks) + b"0\r\nX-Sum: 1\r\n\r\n"
 
 
+def framed_request(body: bytes, form: str, budget: str = "5.0") -> bytes:
+    """Return a non-idempotent request with a body in one of the forms "length", "chunks", "small chunks"."""
+    if form == "length":
+        return request("pay", body=body, budget=budget)
+    head = request("pay", budget=budget, Content_Length=None, Transfer_Encoding="chunked")
+    return head + chunked(body, 300 if form == "small chunks" else 100_000)
+
+
 async def connect_client(environment: SidecarEnvironment) -> tuple[Reader, Writer]:
     return await asyncio.open_connection(*environment.sidecar.frontend.address)
