End each pass over the due timers, also if a handler schedules one for now

Cause: OverdueMonitor.check compared whole microseconds with half of an odd latency objective and scheduled the next check after the rounded-down half. In exactly that microsecond the check was due at once, and TimerQueue.pop_due yielded entries scheduled while it ran, without end.

Change: the time until a server counts as unresponsive is rounded up to whole microseconds; a pass yields only entries scheduled before it. The same cause acted on polls: a quarter of a poll interval under 4 us is 0 us; a call is now repeated a clock tick later at the earliest.

Why it works: the first part removes the timer that is due at once, the second bounds a pass by the entries that it found, whatever is scheduled.

--- a/sidecar_balancer/policy/discovery_schedule.py
+++ b/sidecar_balancer/policy/discovery_schedule.py
@@ -32,6 +32,7 @@
     ) -> None:
         self._polls = settings.discovery is DiscoveryMode.POLL
         self._poll_interval_us = settings.rules.poll_interval_us
+        self._repeat_interval_us = max(RETRY_MAX_INTERVAL_RATIO * self._poll_interval_us, settings.tick_us)
         self._rng = rng
         self._secondary_rng = secondary_rng
         self._timers = timers
@@ -69,7 +70,7 @@
         """Watch the list if it has to be polled; the call is repeated if it is never answered."""
         if self._polls:
             self._actions.append(WatchEndpoints(True))
-            self._schedule(now, RETRY_MAX_INTERVAL_RATIO * self._poll_interval_us)
+            self._schedule(now, self._repeat_interval_us)
 
     def _back_off(self, now: int) -> None:
         longest_us = min(
--- a/sidecar_balancer/policy/overdue.py
+++ b/sidecar_balancer/policy/overdue.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import math
 from enum import Enum, unique
 
 from sidecar_balancer.policy.admission import AdmissionControl
+from sidecar_balancer.policy.endpoint import Server
 from sidecar_balancer.policy.latency import LatencyTracker
 from sidecar_balancer.policy.outliers import UNRESPONSIVE_MAX_RATIO, OutlierDetector
 from sidecar_balancer.policy.request import Attempt, Request
@@ -59,12 +61,9 @@
         self._check_objective(now, request, attempt, waited_us)
         if not is_unanswered:
             return OverdueFinding.NOTHING
-        unresponsive_after_us = max(
-            UNRESPONSIVE_OVERDUE_RATIO * self._latency.overdue_after_us(request, server),
-            UNRESPONSIVE_MIN_OBJECTIVE_RATIO * request.service_class.latency_objective_us,
-        )
+        unresponsive_after_us = self._unresponsive_after_us(request, server)
         if waited_us < unresponsive_after_us:
-            self._check_again(now + int(unresponsive_after_us) - waited_us, request, attempt)
+            self._check_again(now + unresponsive_after_us - waited_us, request, attempt)
             return OverdueFinding.UNANSWERED
         if attempt.unresponsive:
             return OverdueFinding.UNANSWERED
@@ -75,6 +74,15 @@
             self._outliers.eject(now, server, "silent", UNRESPONSIVE_MAX_RATIO)
         return OverdueFinding.UNRESPONSIVE
 
+    def _unresponsive_after_us(self, request: Request, server: Server) -> int:
+        """Return the time without a response, in whole microseconds, after which a server is unresponsive."""
+        return math.ceil(
+            max(
+                UNRESPONSIVE_OVERDUE_RATIO * self._latency.overdue_after_us(request, server),
+                UNRESPONSIVE_MIN_OBJECTIVE_RATIO * request.service_class.latency_objective_us,
+            )
+        )
+
     def _check_objective(self, now: int, request: Request, attempt: Attempt, waited_us: int) -> None:
         """Count the attempt as late once its objective is missed; a response would show a surge too late."""
         objective_us = request.service_class.latency_objective_us
--- a/sidecar_balancer/policy/timer_queue.py
+++ b/sidecar_balancer/policy/timer_queue.py
@@ -50,11 +50,15 @@
         heapq.heappush(self._entries, TimerEntry(due_at, self._sequence, kind, request_id, attempt_index))
 
     def pop_due(self, now: int) -> Iterator[TimerEntry]:
-        """Remove and yield the due entries, including those scheduled during the iteration."""
+        """Remove and yield the due entries; those scheduled during the iteration wait for the next timer.
+
+        So an entry whose handler schedules another one for the same time can't hold up the caller.
+        """
         if self._armed_for is not None and now >= self._armed_for:
             self._armed_for = None
         entries = self._entries
-        while entries and entries[0].due_at <= now:
+        last_sequence = self._sequence
+        while entries and entries[0].due_at <= now and entries[0].sequence <= last_sequence:
             yield heapq.heappop(entries)
 
     def arm(self, now: int, is_obsolete: Callable[[TimerEntry], bool]) -> None:
