Keep an override of a server that the admin API has just accepted

Cause: DisabledServers.set_disabled changed the balancer's set, but not the set of local overrides, which only the poll of the stored ones updated. A second timer, `refresh`, applies that set with those of the peers; where it came first, it undid the override.

Change: set_disabled records an accepted override in the local set, which also publishes it to the tier at once.

--- a/sidecar_balancer/admin/disabled_servers.py
+++ b/sidecar_balancer/admin/disabled_servers.py
@@ -44,16 +44,24 @@
         """Disable or enable a server at once; return False if the balancer does not know it."""
         self._override_accepted = False
         self._engine.handle(ServerOverrideRequested(server, disabled))
+        if self._override_accepted:
+            changed = frozenset([server])
+            names = self._locally_disabled
+            self._set_locally_disabled(names | changed if disabled else names - changed)
         return self._override_accepted
 
     def apply_stored(self, stored: frozenset[str]) -> None:
         """Apply the servers disabled by the stored overrides, and publish them to the tier."""
-        has_changed = stored != self._locally_disabled
-        self._locally_disabled = stored
-        if has_changed and self._bridge is not None:
-            self._bridge.set_disabled_servers(stored)
+        self._set_locally_disabled(stored)
         self.refresh()
 
+    def _set_locally_disabled(self, names: frozenset[str]) -> None:
+        if names == self._locally_disabled:
+            return
+        self._locally_disabled = names
+        if self._bridge is not None:
+            self._bridge.set_disabled_servers(names)
+
     def refresh(self) -> None:
         """Apply this sidecar's overrides together with those published by its peers."""
         wanted = self._locally_disabled
--- a/tests/admin/test_disabled_servers.py
+++ b/tests/admin/test_disabled_servers.py
@@ -68,6 +68,20 @@
     run_scenario(scenario())
 
 
+# Guards against the timer that applies the overrides of peers undoing an override that was just accepted.
+def test_an_accepted_override_stays_until_the_stored_ones_are_polled(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with running_sidecar(served, served, overrides_folder=tmp_path) as environment:
+            overrides = environment.sidecar.admin_handlers.disabled_servers
+            overrides.apply_stored(frozenset({"s-1"}))
+            for disabled, expected in ((True, {"s-0", "s-1"}), (False, {"s-1"})):
+                assert overrides.set_disabled("s-0", disabled)
+                overrides.refresh()
+                assert overrides.effective == overrides.locally_disabled == expected
+
+    run_scenario(scenario())
+
+
 def test_an_override_that_cannot_be_stored_is_rejected_and_not_applied(tmp_path: Path) -> None:
     async def scenario() -> None:
         (tmp_path / "excluded").write_text("junk")
