--- a/sidecar_balancer/proxy/proxy.py
+++ b/sidecar_balancer/proxy/proxy.py
@@ -18,12 +18,12 @@
     ClientDisconnected,
     HealthCheckEnded,
     RequestBodyEnded,
-    RequestBodyOverdue,
     RequestReceived,
     ResponseStarted,
 )
 from sidecar_balancer.policy.settings import ReportSource, Settings
 from sidecar_balancer.policy.types import Outcome
+from sidecar_balancer.proxy.deadlines import RequestDeadlines
 from sidecar_balancer.proxy.forwarding import attempt_head, content_headers
 from sidecar_balancer.proxy.in_flight import InFlightRequest
 from sidecar_balancer.proxy.request_log import RequestLog
@@ -38,8 +38,6 @@
 if TYPE_CHECKING:
     from sidecar_balancer.observability.latency import LatencyHistograms
 
-_MIN_BODY_CHECK_INTERVAL_S = 0.05  # a client may announce a budget near zero and never complete its body
-
 
 class Proxy:
     """The requests in flight; each gets one response, and each of its attempts is ended.
@@ -66,6 +64,7 @@
         self._settings = settings
         self._engine = engine
         self._endpoint_pool = endpoint_pool
+        self._deadlines = RequestDeadlines(engine, endpoint_pool, self.abandon)
         self._latencies = latencies
         classes = settings.classes
         self._latency_objectives_us = {
@@ -90,9 +89,9 @@
         request = InFlightRequest(next(self._request_ids), client_request, now, None)
         self.in_flight[request.request_id] = self.by_client_request[client_request] = request
         if client_request.upload is None:
-            self._start_deadline(request)
+            self._deadlines.start(request)
         else:
-            self._check_body_deadline_later(request)
+            self._deadlines.watch_body(request)
         self._engine.handle(
             RequestReceived(
                 request.request_id,
@@ -106,47 +105,12 @@
             )
         )
 
-    def _check_body_deadline_later(self, request: InFlightRequest) -> None:
-        loop = asyncio.get_running_loop()
-        remaining_s = request.client_request.remaining_s(loop.time())
-        request.body_timer = loop.call_later(
-            max(remaining_s, _MIN_BODY_CHECK_INTERVAL_S), self._check_body_deadline, request
-        )
-
-    def _check_body_deadline(self, request: InFlightRequest) -> None:
-        """End a request whose client may have sent its last byte so long ago that its time is over."""
-        if request.client_request.remaining_s(asyncio.get_running_loop().time()) > 0.0:
-            self._check_body_deadline_later(request)
-            return
-        with self._engine.handle_first(RequestBodyOverdue(request.request_id)):
-            for attempt in list(request.attempts.values()):
-                if attempt is not None:
-                    self._endpoint_pool.end_if_blocked(attempt)
-        if not request.answered:
-            self.abandon(request.request_id)
-
-    def _start_deadline(self, request: InFlightRequest) -> None:
-        """Start the deadline of a request whose last byte has arrived."""
-        if request.body_timer is not None:
-            request.body_timer.cancel()
-        clock = self._engine.clock
-        request.received_at = clock.now()
-        request.deadline = request.received_at + request.client_request.remaining_us
-        request.failsafe_timer = asyncio.get_running_loop().call_at(
-            clock.to_loop_time(request.deadline), self.abandon, request.request_id
-        )
-
     def body_completed(self, client_request: ClientRequest) -> None:
         """Record that the last byte of a streamed body has arrived."""
         request = self.by_client_request.get(client_request)
         if request is None or request.answered:
             return
-        self._start_deadline(request)
-        assert request.deadline is not None
-        deadline = self._engine.clock.to_loop_time(request.deadline)
-        for attempt in request.attempts.values():
-            if attempt is not None:
-                self._endpoint_pool.set_deadline(attempt, deadline)
+        self._deadlines.start(request)
         self._engine.handle(RequestBodyEnded(request.request_id, client_request.remaining_us))
 
     def client_disconnected(self, client_request: ClientRequest) -> None:
@@ -191,9 +155,7 @@
         request.answered = True
         if request.streamed_attempt is None:
             self.by_client_request.pop(request.client_request, None)
-        for timer in (request.failsafe_timer, request.body_timer):
-            if timer is not None:
-                timer.cancel()
+        self._deadlines.cancel(request)
         for attempt_index, attempt in list(request.attempts.items()):
             if attempt is not None and attempt_index != request.streamed_attempt:
                 self._endpoint_pool.cancel_unsent(attempt)
--- a/tests/downstream/test_upload_deadlines.py
+++ b/tests/downstream/test_upload_deadlines.py
@@ -21,8 +21,8 @@
 )
 from sidecar_balancer.policy.events import AttemptEnded, RequestBodyOverdue
 from sidecar_balancer.policy.types import Outcome
+from sidecar_balancer.proxy.deadlines import RequestDeadlines
 from sidecar_balancer.proxy.in_flight import InFlightRequest
-from sidecar_balancer.proxy.proxy import Proxy
 from sidecar_balancer.runtime.streams import BodyMemory
 from sidecar_balancer.upstream import endpoint_pool
 from sidecar_balancer.upstream.dialing import connect
@@ -148,15 +148,15 @@
     monkeypatch: pytest.MonkeyPatch, on_virtual_clock: RunScenario
 ) -> None:
     checked_at: list[float] = []
-    check = Proxy._check_body_deadline
+    check = RequestDeadlines._check_body
 
-    def recorded_check(proxy: Proxy, live: InFlightRequest) -> None:
+    def recorded_check(deadlines: RequestDeadlines, live: InFlightRequest) -> None:
         checked_at.append(asyncio.get_running_loop().time())
-        check(proxy, live)
+        check(deadlines, live)
 
     async def scenario() -> None:
         async with sidecar_with_hung_server(monkeypatch) as environment:
-            monkeypatch.setattr(Proxy, "_check_body_deadline", recorded_check)
+            monkeypatch.setattr(RequestDeadlines, "_check_body", recorded_check)
             _, writer = await connect_client(environment)
             writer.write(framed_request(BODY, "length", budget="0.000001")[:70_000])
             await wait_until(lambda: len(checked_at) == 3)
