--- a/sidecar_balancer/downstream/arrival.py
+++ b/sidecar_balancer/downstream/arrival.py
@@ -8,7 +8,7 @@
 from sidecar_balancer.runtime.queueing import PollTimes, since_last_data_s
 
 _MIN_QUEUE_DELAY_S = 0.01  # shorter delays are not subtracted from the remaining time of a request
-_MIN_RECEIVE_WINDOW_BYTES = 32 * 1024  # with less unread input than this, the client can send all that it has
+_MIN_RECEIVE_WINDOW_BYTES = 32 * 1024  # a client can send at least this much that is not read
 _WINDOW_UPDATE_S = 0.25  # a client whose data did not fit into the receive window may retry only after 0.2 s
 
 
--- a/sidecar_balancer/upstream/endpoint_pool.py
+++ b/sidecar_balancer/upstream/endpoint_pool.py
@@ -191,7 +191,7 @@
         if request.upload is not None and not request.upload.is_available():
             extra = {"event": "body_unavailable", "server": exchange.endpoint.name}
             log.error("another attempt has read the request's body", extra=extra)
-            exchange.end(Outcome.UNSENT)  # what is left of the body would be a request that nobody sent
+            exchange.end(Outcome.UNSENT)  # no client sent what is left of the body as a request
             return
         try:
             head = request.build_head(max(remaining_s, 0.0))
--- a/tests/downstream/test_arrival.py
+++ b/tests/downstream/test_arrival.py
@@ -17,7 +17,7 @@
 @pytest.fixture
 def arrival() -> Iterator[ArrivalEstimate]:
     """Provide the estimate of a connection from time 100 on, in a loop that polls it without delay."""
-    ours, peers = socket.socketpair()  # without TCP's information on the age of the data
+    ours, peers = socket.socketpair()  # not TCP, so that the age of the data is unknown
     with ours, peers:
         yield ArrivalEstimate(ours, PollTimes(math.inf), 100.0)
 
