Give the balancer's driver in the tests a module of its own

Change: balancer_driver.py and policy_settings.py in its place; imports follow. No test changes otherwise.

--- a/bench/scale_edge.py
+++ b/bench/scale_edge.py
@@ -19,7 +19,7 @@
 import bench_support  # noqa: F401  # puts tests/support on the import path
 from scale_fit import Series
 
-from helpers import settings
+from policy_settings import settings
 from sidecar_balancer.config.sidecar import SidecarConfig
 from sidecar_balancer.discovery.endpoint_list import ListUpdate, decode_list, parse_list
 from sidecar_balancer.policy.types import ListKind
--- a/bench/scale_hollow.py
+++ b/bench/scale_hollow.py
@@ -21,7 +21,7 @@
 import bench_support  # noqa: F401  # puts tests/support on the import path
 from scale_edge import delta_update, endpoint_entry
 
-from helpers import settings
+from policy_settings import settings
 from registry import FakeRegistry
 from sidecar_balancer.addresses import Address, parse_address
 from sidecar_balancer.discovery.client import DiscoveryClient
--- a/bench/scale_request.py
+++ b/bench/scale_request.py
@@ -7,7 +7,7 @@
 import bench_support  # noqa: F401  # puts tests/support on the import path
 from scale_fit import Series
 
-from helpers import settings
+from policy_settings import settings
 from sidecar_balancer.policy.actions import SendAttempt
 from sidecar_balancer.policy.balancer import Balancer
 from sidecar_balancer.policy.events import AttemptEnded, EndpointListReceived, ListedServer, RequestReceived
--- a/tests/admin/test_views.py
+++ b/tests/admin/test_views.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from helpers import BalancerDriver
+from balancer_driver import BalancerDriver
 from sidecar_balancer.admin.views import servers_view
 from sidecar_balancer.policy.types import ServerVerdict
 
--- a/tests/discovery/test_client.py
+++ b/tests/discovery/test_client.py
@@ -5,8 +5,8 @@
 import pytest
 
 from discovery_helpers import balancer_of, client_of, consecutive_failures, now_us, pooled_servers, served
-from helpers import S
 from loopback import FakeDiscovery, http_response, run_scenario, running_sidecar, wait_until
+from policy_settings import S
 from registry import entry
 from sidecar_balancer.discovery import watch_state
 from sidecar_balancer.discovery.client import EMPTY_POLL_PAUSE_S, DiscoveryClient
--- a/tests/discovery/test_poll_timing.py
+++ b/tests/discovery/test_poll_timing.py
@@ -11,9 +11,10 @@
 
 import pytest
 
+from balancer_driver import BalancerDriver
 from discovery_helpers import balancer_of, served
-from helpers import START, BalancerDriver, S, server_names, settings
 from loopback import http_response, request, running_sidecar, send_request, wait_until
+from policy_settings import START, S, server_names, settings
 from sidecar_balancer.discovery import watch_state
 from sidecar_balancer.policy.actions import WatchEndpoints
 from sidecar_balancer.policy.events import EndpointListReceived
--- a/tests/downstream/test_frontend.py
+++ b/tests/downstream/test_frontend.py
@@ -9,7 +9,6 @@
 
 import pytest
 
-from helpers import settings
 from loopback import (
     http_response,
     is_closed,
@@ -20,6 +19,7 @@
     send_request,
     wait_until,
 )
+from policy_settings import settings
 from sidecar_balancer.downstream import client_connection, request_deadline
 from sidecar_balancer.downstream.frontend import Frontend
 from sidecar_balancer.downstream.request import ClientRequest
--- a/tests/persistence/test_persister.py
+++ b/tests/persistence/test_persister.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from helpers import BalancerDriver
+from balancer_driver import BalancerDriver
 from sidecar_balancer.persistence.persister import StatePersister
 from sidecar_balancer.persistence.store import Store
 
--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -4,16 +4,8 @@
 
 import math
 
-from helpers import (
-    IDEMPOTENT,
-    MS,
-    NON_IDEMPOTENT,
-    BalancerDriver,
-    S,
-    serve_one_at_a_time,
-    server_names,
-    settings,
-)
+from balancer_driver import BalancerDriver, serve_one_at_a_time
+from policy_settings import IDEMPOTENT, MS, NON_IDEMPOTENT, S, server_names, settings
 from sidecar_balancer.policy.actions import (
     CancelAttempt,
     Fail,
--- a/tests/policy/test_any_sequence.py
+++ b/tests/policy/test_any_sequence.py
@@ -10,16 +10,7 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
-from helpers import (
-    IDEMPOTENCY_KEY,
-    IDEMPOTENT,
-    MS,
-    NON_IDEMPOTENT,
-    START,
-    S,
-    server_names,
-    settings,
-)
+from policy_settings import IDEMPOTENCY_KEY, IDEMPOTENT, MS, NON_IDEMPOTENT, START, S, server_names, settings
 from sidecar_balancer.policy.actions import (
     Action,
     ApplyDisabledServers,
--- a/tests/policy/test_discovery_schedule.py
+++ b/tests/policy/test_discovery_schedule.py
@@ -6,14 +6,8 @@
 
 import pytest
 
-from helpers import (
-    MS,
-    START,
-    BalancerDriver,
-    S,
-    server_names,
-    settings,
-)
+from balancer_driver import BalancerDriver
+from policy_settings import MS, START, S, server_names, settings
 from sidecar_balancer.policy.actions import (
     FetchEndpoints,
     WatchEndpoints,
--- a/tests/policy/test_endpoint_table.py
+++ b/tests/policy/test_endpoint_table.py
@@ -2,12 +2,8 @@
 
 from __future__ import annotations
 
-from helpers import (
-    MS,
-    BalancerDriver,
-    S,
-    server_names,
-)
+from balancer_driver import BalancerDriver
+from policy_settings import MS, S, server_names
 from sidecar_balancer.policy.types import ListKind, Outcome, ServerState
 
 
--- a/tests/policy/test_final_answers.py
+++ b/tests/policy/test_final_answers.py
@@ -2,14 +2,8 @@
 
 from __future__ import annotations
 
-from helpers import (
-    MS,
-    START,
-    BalancerDriver,
-    S,
-    server_names,
-    settings,
-)
+from balancer_driver import BalancerDriver
+from policy_settings import MS, START, S, server_names, settings
 from sidecar_balancer.policy.actions import (
     CancelAttempt,
     Fail,
--- a/tests/policy/test_latency.py
+++ b/tests/policy/test_latency.py
@@ -2,12 +2,8 @@
 
 from __future__ import annotations
 
-from helpers import (
-    MS,
-    BalancerDriver,
-    serve_one_at_a_time,
-    server_names,
-)
+from balancer_driver import BalancerDriver, serve_one_at_a_time
+from policy_settings import MS, server_names
 
 
 def test_relative_latency_adapts_faster_with_few_responses() -> None:
--- a/tests/policy/test_outliers.py
+++ b/tests/policy/test_outliers.py
@@ -4,12 +4,8 @@
 
 import pytest
 
-from helpers import (
-    MS,
-    BalancerDriver,
-    S,
-    server_names,
-)
+from balancer_driver import BalancerDriver
+from policy_settings import MS, S, server_names
 from sidecar_balancer.policy.actions import (
     LogEvent,
     Reject,
--- a/tests/policy/test_overrides.py
+++ b/tests/policy/test_overrides.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from helpers import MS, BalancerDriver, S, server_names, settings
+from balancer_driver import BalancerDriver
+from policy_settings import MS, S, server_names, settings
 from sidecar_balancer.policy.actions import ApplyDisabledServers, SendAttempt
 from sidecar_balancer.policy.events import DisabledServersChanged, ListedServer, ServerOverrideRequested
 from sidecar_balancer.policy.types import ListKind, Outcome, ServerState
--- a/tests/policy/test_selection.py
+++ b/tests/policy/test_selection.py
@@ -6,14 +6,8 @@
 
 import pytest
 
-from helpers import (
-    MS,
-    BalancerDriver,
-    S,
-    serve_one_at_a_time,
-    server_names,
-    settings,
-)
+from balancer_driver import BalancerDriver, serve_one_at_a_time
+from policy_settings import MS, S, server_names, settings
 from sidecar_balancer.policy.actions import (
     Reject,
 )
--- a/tests/policy/test_send_gate.py
+++ b/tests/policy/test_send_gate.py
@@ -2,11 +2,8 @@
 
 from __future__ import annotations
 
-from helpers import (
-    BalancerDriver,
-    server_names,
-    settings,
-)
+from balancer_driver import BalancerDriver
+from policy_settings import server_names, settings
 from sidecar_balancer.policy.types import ListKind, ServerState
 
 
--- a/tests/policy/test_slow_start.py
+++ b/tests/policy/test_slow_start.py
@@ -4,13 +4,8 @@
 
 import pytest
 
-from helpers import (
-    MS,
-    START,
-    BalancerDriver,
-    S,
-    server_names,
-)
+from balancer_driver import BalancerDriver
+from policy_settings import MS, START, S, server_names
 from sidecar_balancer.policy.events import ListedServer
 from sidecar_balancer.policy.types import ListKind
 
--- a/tests/policy/test_slow_start_fleet.py
+++ b/tests/policy/test_slow_start_fleet.py
@@ -11,7 +11,8 @@
 
 import pytest
 
-from helpers import MS, START, BalancerDriver, S, server_names, settings
+from balancer_driver import BalancerDriver
+from policy_settings import MS, START, S, server_names, settings
 from sidecar_balancer.policy.events import ListedServer
 from sidecar_balancer.policy.types import ListKind
 
--- a/tests/policy/test_stalls.py
+++ b/tests/policy/test_stalls.py
@@ -2,13 +2,8 @@
 
 from __future__ import annotations
 
-from helpers import (
-    MS,
-    BalancerDriver,
-    S,
-    server_names,
-    settings,
-)
+from balancer_driver import BalancerDriver
+from policy_settings import MS, S, server_names, settings
 from sidecar_balancer.policy.actions import (
     LogEvent,
 )
--- a/tests/policy/test_timer_queue.py
+++ b/tests/policy/test_timer_queue.py
@@ -4,15 +4,8 @@
 
 import pytest
 
-from helpers import (
-    MS,
-    NON_IDEMPOTENT,
-    START,
-    BalancerDriver,
-    S,
-    server_names,
-    settings,
-)
+from balancer_driver import BalancerDriver
+from policy_settings import MS, NON_IDEMPOTENT, START, S, server_names, settings
 from sidecar_balancer.policy.action_queue import ActionQueue
 from sidecar_balancer.policy.actions import SetTimer
 from sidecar_balancer.policy.events import TimerFired
--- a/tests/policy/test_zone_evacuation.py
+++ b/tests/policy/test_zone_evacuation.py
@@ -7,8 +7,9 @@
 
 import pytest
 
-from helpers import MS, BalancerDriver, settings
-from helpers import S as SECOND
+from balancer_driver import BalancerDriver
+from policy_settings import MS, settings
+from policy_settings import S as SECOND
 from sidecar_balancer.config.settings import read_locality
 from sidecar_balancer.policy.actions import HealthCheck, PublishServerVerdict, PublishZoneVerdict
 from sidecar_balancer.policy.events import (
--- a/tests/runtime/test_queueing.py
+++ b/tests/runtime/test_queueing.py
@@ -9,8 +9,8 @@
 import pytest
 
 from discovery_helpers import served
-from helpers import IDEMPOTENT, S
 from loopback import read_response, request, running_sidecar, wait_until
+from policy_settings import IDEMPOTENT, S
 from sidecar_balancer.downstream import arrival
 from sidecar_balancer.runtime.queueing import BacklogAge, PollTimes, TimedLoop, since_last_data_s
 from virtual_clock import RunScenario, stall
--- a/tests/runtime/test_shutdown.py
+++ b/tests/runtime/test_shutdown.py
@@ -7,7 +7,6 @@
 
 import pytest
 
-from helpers import IDEMPOTENT, NON_IDEMPOTENT, S
 from loopback import (
     assert_nothing_pending,
     http_response,
@@ -16,6 +15,7 @@
     unresponsive_listener,
     wait_until,
 )
+from policy_settings import IDEMPOTENT, NON_IDEMPOTENT, S
 from scenario_helpers import RawClient, hung, served
 from sidecar_balancer.policy.types import ServerState
 from sidecar_balancer.runtime.streams import STALL_TIMEOUT_S
--- a/tests/runtime/test_timeouts.py
+++ b/tests/runtime/test_timeouts.py
@@ -6,13 +6,13 @@
 
 import pytest
 
-from helpers import IDEMPOTENT, NON_IDEMPOTENT, S
 from loopback import (
     http_response,
     running_sidecar,
     unresponsive_listener,
     wait_until,
 )
+from policy_settings import IDEMPOTENT, NON_IDEMPOTENT, S
 from scenario_helpers import hung, served
 from sidecar_balancer.policy.events import (
     AttemptEnded,
--- a/tests/support/helpers.py
+++ b/tests/support/balancer_driver.py
@@ -1,11 +1,11 @@
-"""Driver that feeds events to one balancer and records its actions; settings and servers for tests."""
+"""Driver that feeds events to one balancer, fires its timers and records its actions."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable
-from typing import Any, TypeVar
+from typing import TypeVar
 
-from sidecar_balancer.config.settings import read_settings
+from policy_settings import MS, START, S, settings
 from sidecar_balancer.policy.actions import Action, SendAttempt, SetTimer
 from sidecar_balancer.policy.balancer import Balancer
 from sidecar_balancer.policy.events import (
@@ -19,62 +19,9 @@
 from sidecar_balancer.policy.settings import Settings
 from sidecar_balancer.policy.types import ListKind, Outcome, ServerState
 
-MS = 1_000  # one millisecond in µs, the unit of the balancer's clock
-S = 1_000_000
-START = 50 * S
-
-IDEMPOTENT = {
-    "name": "look",
-    "deadline_us": 2 * S,
-    "latency_objective_us": 500 * MS,
-    "priority_weight": 1,
-    "idempotency": "idempotent",
-}
-NON_IDEMPOTENT = {
-    "name": "pay",
-    "deadline_us": 2 * S,
-    "latency_objective_us": 500 * MS,
-    "priority_weight": 10,
-    "idempotency": "non_idempotent",
-}
-IDEMPOTENCY_KEY = {
-    "name": "amend",
-    "deadline_us": 4 * S,
-    "latency_objective_us": 500 * MS,
-    "priority_weight": 3,
-    "idempotency": "idempotency_key",
-    "deduplication_scope": "cell",
-    "deduplication_window_us": 2 * S,
-}
-
 _ActionT = TypeVar("_ActionT")
 
 
-def settings(**changes: Any) -> Settings:
-    """Return permissive settings; changes to `limits` and `rules` are merged, others replace the value."""
-    values: dict[str, Any] = {
-        "classes": [IDEMPOTENT, NON_IDEMPOTENT, IDEMPOTENCY_KEY],
-        "zone": "east",
-        "tick_us": 5 * MS,
-        "limits": {"max_attempts": 5, "may_hedge": True, "may_cancel": True},
-        "rules": {
-            "slow_start_min_ratio": 0.2,
-            "slow_start_us": 10 * S,
-            "drain_grace_us": 500 * MS,
-            "overload_multiple": 3,
-            "overload_window_us": 2 * S,
-            "poll_interval_us": 10 * S,
-        },
-    }
-    for key, value in changes.items():
-        values[key] = {**values[key], **value} if isinstance(values.get(key), dict) else value
-    return read_settings(values)
-
-
-def server_names(count: int) -> list[str]:
-    return [f"10.0.0.{number}:80" for number in range(1, count + 1)]
-
-
 class BalancerDriver:
     """Driver of one balancer: feeds it events, records its actions and fires its timers as time advances.
 
--- a/tests/support/loopback.py
+++ b/tests/support/loopback.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 from typing import Any
 
-from helpers import settings
+from policy_settings import settings
 from sidecar_balancer.addresses import Address
 from sidecar_balancer.config.sidecar import SidecarConfig
 from sidecar_balancer.discovery.endpoint_list import parse_list
--- a/tests/upstream/test_attempt_outcomes.py
+++ b/tests/upstream/test_attempt_outcomes.py
@@ -7,7 +7,6 @@
 
 import pytest
 
-from helpers import S
 from loopback import (
     WAIT_TIMEOUT_S,
     http_response,
@@ -18,6 +17,7 @@
     unresponsive_listener,
     wait_until,
 )
+from policy_settings import S
 from sidecar_balancer.policy.events import AttemptEnded
 from sidecar_balancer.policy.types import Outcome, ServerState
 
--- a/tests/upstream/test_endpoint_pool.py
+++ b/tests/upstream/test_endpoint_pool.py
@@ -7,7 +7,6 @@
 import h11
 import pytest
 
-from helpers import S
 from loopback import (
     WAIT_TIMEOUT_S,
     FakeServer,
@@ -17,6 +16,7 @@
     unresponsive_listener,
     wait_until,
 )
+from policy_settings import S
 from sidecar_balancer.policy.types import Outcome, ServerState
 from sidecar_balancer.upstream import endpoint_pool
 from sidecar_balancer.upstream.endpoint_pool import EndpointPool
--- a/tests/upstream/test_response_timing.py
+++ b/tests/upstream/test_response_timing.py
@@ -9,7 +9,6 @@
 
 import pytest
 
-from helpers import IDEMPOTENT, NON_IDEMPOTENT, S
 from loopback import (
     http_response,
     read_response,
@@ -18,6 +17,7 @@
     unresponsive_listener,
     wait_until,
 )
+from policy_settings import IDEMPOTENT, NON_IDEMPOTENT, S
 from scenario_helpers import (
     RawClient,
     hung,
