Give each test process addresses of its own in the tests of the program

Cause: free_address released the port that it had found on 127.0.0.1. Where another run takes it, the next process of the upgrade can't bind its admin address and ends, and the other run answers "ready" in its place, so that the old process is ended with none to accept. Shown on a scratch copy with a server that answers 200 at the new process's admin address: the test fails at the same line, after 20 s. That this was the cause in the earlier runs is not shown.

Change: the addresses are on a loopback host that no other run uses, as in the tests of the cluster, and a process that is not running any more when "ready" was answered fails the test at once.

--- a/tests/runtime/test_process.py
+++ b/tests/runtime/test_process.py
@@ -15,6 +15,7 @@
 
 import pytest
 
+from harness import free_addresses, new_host
 from loopback import (
     WAIT_TIMEOUT_S,
     FakeDiscovery,
@@ -101,10 +102,8 @@
 
 
 def free_address() -> Address:
-    """Return an address whose port was free a moment ago, as port 0 can't be configured."""
-    with socket.create_server(("127.0.0.1", 0)) as free:
-        host, port = free.getsockname()
-        return host, port
+    """Return an address that no other test uses, as port 0 can't be configured."""
+    return free_addresses(new_host(), 1)[0]
 
 
 async def wait_until_ok(address: Address, data: bytes) -> None:
@@ -337,6 +336,7 @@
         process = await launch(path, configuration, fd, RELAY_ACCEPT_FD=str(fd), **variables)
         self._processes.append(process)
         await wait_until_ok(admin_address, READY)
+        assert process.returncode is None, "another process answered at the admin address"
         return process
 
     def requests(self) -> list[Any]:
