--- a/tests/support/raw_server.py
+++ b/tests/support/raw_server.py
@@ -66,11 +66,15 @@
     return b"".join(b"%x;note=1\r\n%b\r\n" % (len(each), each) for each in chunks) + b"0\r\nX-Sum: 1\r\n\r\n"
 
 
-def framed_request(body: bytes, form: str, budget: str = "5.0") -> bytes:
+def framed_request(
+    body: bytes, form: str, budget: str = "5.0", request_id: str = "9b1f03aa5c7e2d41"
+) -> bytes:
     """Return a non-idempotent request with a body in one of the forms "length", "chunks", "small chunks"."""
     if form == "length":
-        return request("pay", body=body, budget=budget)
-    head = request("pay", budget=budget, Content_Length=None, Transfer_Encoding="chunked")
+        return request("pay", body=body, budget=budget, X_Call_Id=request_id)
+    head = request(
+        "pay", budget=budget, X_Call_Id=request_id, Content_Length=None, Transfer_Encoding="chunked"
+    )
     return head + chunked(body, 300 if form == "small chunks" else 100_000)
 
 
