--- a/tests/downstream/test_upload_faults.py
+++ b/tests/downstream/test_upload_faults.py
@@ -19,7 +19,7 @@
     Writer,
     connect_client,
     framed_request,
-    read_chunked,
+    read_body,
     read_head,
     sidecar_with_raw_server,
 )
@@ -75,10 +75,7 @@
 
     async def _execute(self, head: str, reader: Reader, writer: Writer) -> None:
         request_id = head.split("x-call-id: ")[1].split("\r")[0]
-        if "chunked" in head:
-            body = await read_chunked(reader)
-        else:
-            body = await reader.readexactly(int(head.split("content-length: ")[1].split("\r")[0]))
+        body = await read_body(head, reader)  # raises if the body breaks off: then nothing was executed
         self.executed.setdefault(request_id, []).append(body)
         writer.write(http_response())
 
--- a/tests/downstream/test_upload_streaming.py
+++ b/tests/downstream/test_upload_streaming.py
@@ -26,7 +26,7 @@
     chunked,
     connect_client,
     framed_request,
-    read_chunked,
+    read_body,
     read_head,
     sidecar_with_raw_server,
 )
@@ -43,11 +43,7 @@
 async def serve_uploads(reader: Reader, writer: Writer) -> None:
     """Reply whether each body arrived complete."""
     while True:
-        head = await read_head(reader)
-        if "chunked" in head:
-            body = await read_chunked(reader)
-        else:
-            body = await reader.readexactly(int(head.split("content-length: ")[1].split("\r")[0]))
+        body = await read_body(await read_head(reader), reader)
         writer.write(http_response(200, b"whole" if body == LONG_BODY else b"not whole"))
 
 
--- a/tests/support/raw_server.py
+++ b/tests/support/raw_server.py
@@ -61,6 +61,13 @@
     return body
 
 
+async def read_body(head: str, reader: Reader) -> bytes:
+    """Read the body that follows a head, by its length or in chunks."""
+    if "chunked" in head:
+        return await read_chunked(reader)
+    return await reader.readexactly(int(head.split("content-length: ")[1].split("\r")[0]))
+
+
 def chunked(body: bytes, size: int) -> bytes:
     chunks = [body[start : start + size] for start in range(0, len(body), size)]
     return b"".join(b"%x;note=1\r\n%b\r\n" % (len(each), each) for each in chunks) + b"0\r\nX-Sum: 1\r\n\r\n"
