Review cases: take the classes of the site, and name it in the claims

Cause: the claims of the first review name the site, and the cases used other names for its classes.

--- a/review/common2/kit.py
+++ b/review/common2/kit.py
@@ -28,18 +28,30 @@
 BROKEN, HELD, NOT_RUN = 1, 0, 2
 LIMIT_S = 115.0
 
+# The classes, bounds and guarantees of WIRE's example, which are those of the site catalogo-santiago.
 CLASSES = [
-    {"name": "look", "giveUpUs": 2_000_000, "promiseUs": 1_000_000, "repeat": "read_like", "worth": 3.0},
-    {"name": "stock", "giveUpUs": 3_000_000, "promiseUs": 750_000, "repeat": "read_like", "worth": 3.0},
     {
-        "name": "reserve",
+        "name": "buscar-pieza",
+        "giveUpUs": 2_000_000,
+        "promiseUs": 1_000_000,
+        "repeat": "read_like",
+        "worth": 3.0,
+    },
+    {
+        "name": "ver-stock",
+        "giveUpUs": 3_000_000,
+        "promiseUs": 750_000,
+        "repeat": "read_like",
+        "worth": 3.0,
+    },
+    {
+        "name": "reservar",
         "giveUpUs": 6_000_000,
         "promiseUs": 2_000_000,
         "repeat": "non_idempotent",
         "worth": 10.0,
     },
 ]
-# The `settings` of WIRE.md's example, without what no case uses.
 BOUNDS = {
     "sendCap": 4,
     "mayCancel": True,
@@ -459,7 +471,7 @@
 
 def api_request(call_id: str, name: str, budget_s: float, body: bytes = b"") -> bytes:
     """Return the bytes of a client's request of a class."""
-    method = "POST" if name == "reserve" else "GET"
+    method = "POST" if name == "reservar" else "GET"
     lines = [
         f"{method} /api HTTP/1.1",
         "Host: app.svc",
