--- a/review/8/case.py
+++ b/review/8/case.py
@@ -51,9 +51,9 @@
     """
     call_id = new_call_id()
     reader, writer = await asyncio.open_connection(sidecar.host, sidecar.port)
-    writer.write(api_request(call_id, "look", BUDGET_S))
+    writer.write(api_request(call_id, "buscar-pieza", BUDGET_S))
     sent = record.now()
-    record(f"sent     {call_id} look, {BUDGET_S} s")
+    record(f"sent     {call_id} buscar-pieza, {BUDGET_S} s")
     try:
         async with asyncio.timeout(BUDGET_S + 8):
             answer = await read_message(reader)
