Evict connections without a complete request when new ones find no room

Cause: Frontend.ensure_capacity made room by idle connections alone. One with a part of a head, a body, a streamed body or the next request behind an answered one never counted as idle, nor one that lingers after an error, so the acceptor paused until their own limit of 2.5 s, once more for each further round of them.

Change: ConnectionTable selects whom to evict: answered clients, then silent ones, then those without a byte, then the latest of the requests that arrive. A partly received request gets 503, and nothing with unread input or a complete request is evicted. The acceptor tells for how long there was no room, and pauses for 20 ms instead of 50, as the pause now only lets input be read.

Why it works: the wait of a new connection is bounded by that pause and by 0.1 s, whatever the number and the state of the clients that hold the others.

--- a/sidecar_balancer/downstream/acceptor.py
+++ b/sidecar_balancer/downstream/acceptor.py
@@ -15,7 +15,7 @@
 
 _LISTEN_BACKLOG = 512
 _MAX_ACCEPTS_PER_TURN = 64  # lets other sockets, such as the admin server's, be served in each turn
-_ACCEPT_PAUSE_S = 0.05  # avoids a busy loop while no file descriptors are available
+_ACCEPT_PAUSE_S = 0.02  # avoids a busy loop while there is no room; input is read meanwhile
 
 
 class AcceptHandler(Protocol):
@@ -24,8 +24,15 @@
     def is_full(self) -> bool:
         """Return whether the limit on connections is reached."""
 
-    def ensure_capacity(self) -> bool:
-        """Make room for one more connection; return whether that succeeded."""
+    def is_opening(self) -> bool:
+        """Return whether accepted connections are still being opened, so that their input is unread."""
+
+    def ensure_capacity(self, waited_s: float) -> bool:
+        """Make room for one more connection; return whether that succeeded.
+
+        Args:
+            waited_s: The time for which new connections have found no room, in seconds.
+        """
 
     def connection_accepted(self, sock: socket.socket, established_after: float) -> None:
         """Serve a connection that was established after this time on the event loop's clock."""
@@ -56,6 +63,7 @@
         self._poll_times = poll_times
         self._handler = handler
         self._is_accepting = False
+        self._without_room_since: float | None = None  # set while connections wait for room
 
     def start(self) -> None:
         """Start accepting connections."""
@@ -84,12 +92,13 @@
         """Accept connections; return whether more may be waiting."""
         self._sock.setblocking(False)  # processes that share an inherited socket share this flag
         now, unread_since = asyncio.get_running_loop().time(), self._poll_times.unread_since
+        waited_s = self._waited_for_room_s(now)
         for _ in range(_MAX_ACCEPTS_PER_TURN):
             if self._handler.is_full():
                 if not is_readable(self._sock):  # no connection is waiting
                     self._backlog.record_emptied()
                     return False
-                if not self._handler.ensure_capacity():
+                if not self._handler.ensure_capacity(waited_s):
                     self._pause_for_resources(unread_since, now)
                     return False
             try:
@@ -99,15 +108,25 @@
                 return False
             except OSError as error:
                 _log_failure(error)
+                self._handler.ensure_capacity(waited_s)  # frees a descriptor
                 self._pause_for_resources(unread_since, now)
                 return False
+            self._without_room_since = None
             self._handler.connection_accepted(sock, self._backlog.oldest_arrival(unread_since))
             self._backlog.record_accepted(now)
         self._backlog.record_remaining(unread_since, now)
         return True
 
+    def _waited_for_room_s(self, now: float) -> float:
+        """Return the time for which connections have waited; none while accepted ones are being opened."""
+        if self._without_room_since is None or self._handler.is_opening():
+            return 0.0
+        return now - self._without_room_since
+
     def _pause_for_resources(self, unread_since: float, now: float) -> None:
         self._backlog.record_remaining(unread_since, now)
+        if self._without_room_since is None:
+            self._without_room_since = now
         self.pause()
         asyncio.get_running_loop().call_later(_ACCEPT_PAUSE_S, self.start)
 
--- a/sidecar_balancer/downstream/client_connection.py
+++ b/sidecar_balancer/downstream/client_connection.py
@@ -16,6 +16,7 @@
 
 from sidecar_balancer.downstream import request_deadline
 from sidecar_balancer.downstream.arrival import ArrivalEstimate
+from sidecar_balancer.downstream.connection_table import EvictionClass
 from sidecar_balancer.downstream.request import (
     ClientRequest,
     check_framing,
@@ -45,6 +46,9 @@
     def connection_opened(self, connection: ClientConnection) -> None:
         """Record that the connection is being served."""
 
+    def input_received(self, connection: ClientConnection) -> None:
+        """Record that the connection has received a part of a request."""
+
     def connection_idle(self, connection: ClientConnection) -> None:
         """Record that the connection now waits for its next request."""
 
@@ -107,6 +111,49 @@
         )
         return not is_busy and has_no_unread_input(self._sock)
 
+    # -- Eviction
+
+    @property
+    def request_awaited_since(self) -> float:
+        """The time since which its request is awaited, on the event loop's clock."""
+        return self._deadline.awaited_since
+
+    def eviction_class(self, now: float) -> EvictionClass:
+        """Return the state that decides whether it is closed at `now` to make room for another connection."""
+        if self._transport is None or self._transport.is_closing() or self._write_blocked:
+            return EvictionClass.BUSY
+        if self._linger_deadline is None and (self._has_complete_request() or self._reading_paused):
+            return EvictionClass.BUSY
+        if self._deadline.is_stalled(now, self._head is not None):
+            return EvictionClass.STALLED
+        return EvictionClass.RECEIVING if self._is_partly_received() else EvictionClass.UNUSED
+
+    def _is_partly_received(self) -> bool:
+        return self._head is not None or bool(self._h11.trailing_data[0])
+
+    def _has_complete_request(self) -> bool:
+        """Return whether a response is due or has begun, or the input after the last one is unparsed."""
+        if self._source is not None or self._h11.our_state is h11.DONE:
+            return True
+        return self._request is not None and self._upload is None
+
+    def has_unread_input(self) -> bool:
+        """Return whether the kernel holds input that was not read yet."""
+        return not has_no_unread_input(self._sock)
+
+    def evict(self) -> None:
+        """Close it at once; a request that has partly arrived is rejected, so that it may be retried."""
+        is_partly_received = self._is_partly_received()
+        log.info(
+            "connection from port %d evicted, %s",
+            self._port,
+            "with a part of a request" if is_partly_received else "without a request",
+            extra={"event": "connection_evicted"},
+        )
+        if is_partly_received and self._linger_deadline is None:
+            self._respond_with_error(RequestError(503, "too many connections"))
+        self._end_linger()  # a client that still sends may miss the response, but the descriptor is free
+
     # -- Clients that disconnect
 
     def check_connected(self) -> None:
@@ -171,6 +218,7 @@
         if self._discards_input:
             self._discard_input(data)
             return
+        self._owner.input_received(self)
         self._deadline.last_input_at = now = asyncio.get_running_loop().time()
         is_drained = not self._read_was_full or has_no_unread_input(self._sock)
         self._arrival.input_received(now, len(data), is_drained)
@@ -336,6 +384,9 @@
     def _reject(self, error: RequestError) -> None:
         extra = {"event": "request_invalid", "status": error.status}
         log.info("request from port %d rejected: %.120s", self._port, error, extra=extra)
+        self._respond_with_error(error)
+
+    def _respond_with_error(self, error: RequestError) -> None:
         self._client_disconnected()  # a body that was being streamed stays incomplete
         if self._h11.our_state is h11.SEND_RESPONSE or self._h11.our_state is h11.IDLE:
             self.respond(error.status, [(b"Content-Type", b"text/plain")], f"{error}\n".encode())
@@ -350,9 +401,9 @@
             return
         if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
             self._h11.start_next_cycle()
-            self._owner.connection_idle(self)
             self._update_reading()
             if trailing_input := self._h11.trailing_data[0]:
+                self._owner.input_received(self)
                 log.info(
                     "port %d sent %d bytes after its request: %.60r",
                     self._port,
@@ -360,4 +411,6 @@
                     trailing_input,
                     extra={"event": "input_behind_request"},
                 )
-            self._parse()
+                self._parse()
+            else:
+                self._owner.connection_idle(self)
--- /dev/null
+++ b/sidecar_balancer/downstream/connection_table.py
@@ -0,0 +1,120 @@
+"""The client connections of a sidecar, and the choice of the one that is closed to make room for another."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Collection, Iterable, Iterator
+from typing import Protocol, TypeVar
+
+_ESTABLISHED_AFTER_S = 0.1  # time from its start after which a request that is arriving is given up last
+_MAX_WAIT_S = 0.1  # longest time for which new connections wait before such a request is given up
+
+
+class EvictionClass(enum.Enum):
+    """The state of a connection, as far as it decides which one is evicted."""
+
+    STALLED = "stalled"  # silent for some time: within a request, before its first one or after its last one
+    UNUSED = "unused"  # just opened, or waiting for its next request
+    RECEIVING = "receiving"  # a request is arriving
+    BUSY = "busy"  # a complete request waits for its response, or the response is being sent
+
+
+class EvictableConnection(Protocol):
+    """A client connection, as far as the choice depends on it; times are on the event loop's clock."""
+
+    @property
+    def request_awaited_since(self) -> float:
+        """The time since which its request is awaited."""
+
+    def eviction_class(self, now: float) -> EvictionClass:
+        """Return its class at `now`."""
+
+    def has_unread_input(self) -> bool:
+        """Return whether the kernel holds input, which may complete a request; costs a system call."""
+
+
+ConnectionT = TypeVar("ConnectionT", bound=EvictableConnection)
+
+
+class ConnectionTable(Collection[ConnectionT]):
+    """The open connections, the least recently active first.
+
+    Whether a client has stopped within its request or only pauses can't be told, so those that have shown the
+    least are evicted first: clients that were answered and only have to connect again, then the stalled ones,
+    the longest silent first, then those that have sent nothing.  Of the requests that are still arriving the
+    latest is evicted: a crowd that comes at once does not push out slow clients that came before it.
+    """
+
+    def __init__(self) -> None:
+        """Start without connections."""
+        self._connections: dict[ConnectionT, None] = {}
+        self._kept_alive: dict[ConnectionT, None] = {}  # a part of `_connections`, the longest idle first
+
+    def __contains__(self, connection: object) -> bool:
+        return connection in self._connections
+
+    def __iter__(self) -> Iterator[ConnectionT]:
+        return iter(self._connections)
+
+    def __len__(self) -> int:
+        return len(self._connections)
+
+    def add(self, connection: ConnectionT) -> None:
+        """Add a connection that waits for its first request."""
+        self._connections[connection] = None
+
+    def remove(self, connection: ConnectionT) -> None:
+        """Remove a connection; no effect if it is not in the table."""
+        self._connections.pop(connection, None)
+        self._kept_alive.pop(connection, None)
+
+    def record_input(self, connection: ConnectionT) -> None:
+        """Record that a connection has received input."""
+        if connection in self._connections:
+            self.remove(connection)
+            self._connections[connection] = None
+
+    def record_kept_alive(self, connection: ConnectionT) -> None:
+        """Record that a connection waits for another request after its last response."""
+        if connection in self._connections:
+            self.remove(connection)
+            self._connections[connection] = self._kept_alive[connection] = None
+
+    def select_victim(self, now: float, waited_s: float) -> ConnectionT | None:
+        """Return the connection to evict, or None if all must stay for now.
+
+        Args:
+            now: The time on the event loop's clock.
+            waited_s: The time for which new connections have found no room, in seconds.
+        """
+        return _first_without_input(self._kept_alive) or self._select_incomplete(now, waited_s)
+
+    def _select_incomplete(self, now: float, waited_s: float) -> ConnectionT | None:
+        unused, receiving = list[ConnectionT](), list[ConnectionT]()
+        for connection in self._connections:
+            eviction_class = connection.eviction_class(now)
+            if eviction_class is EvictionClass.STALLED and not connection.has_unread_input():
+                return connection
+            if eviction_class is EvictionClass.UNUSED:
+                unused.append(connection)
+            elif eviction_class is EvictionClass.RECEIVING:
+                receiving.append(connection)
+        return _first_without_input(unused) or _select_latest(receiving, now, waited_s)
+
+
+def _select_latest(receiving: list[ConnectionT], now: float, waited_s: float) -> ConnectionT | None:
+    """Return the connection whose request began last; an established one only after some time without room.
+
+    Meanwhile requests end, clients stall, and the first input of new connections is read.
+    """
+    if not waited_s:
+        return None
+    if waited_s < _MAX_WAIT_S:
+        receiving = [each for each in receiving if now - each.request_awaited_since < _ESTABLISHED_AFTER_S]
+    return _first_without_input(
+        sorted(receiving, key=lambda connection: connection.request_awaited_since, reverse=True)
+    )
+
+
+def _first_without_input(connections: Iterable[ConnectionT]) -> ConnectionT | None:
+    return next((each for each in connections if not each.has_unread_input()), None)
--- a/sidecar_balancer/downstream/frontend.py
+++ b/sidecar_balancer/downstream/frontend.py
@@ -9,6 +9,7 @@
 from sidecar_balancer.addresses import Address
 from sidecar_balancer.downstream.acceptor import Acceptor
 from sidecar_balancer.downstream.client_connection import ClientConnection
+from sidecar_balancer.downstream.connection_table import ConnectionTable
 from sidecar_balancer.downstream.request import RequestHandler
 from sidecar_balancer.policy.settings import Settings
 from sidecar_balancer.runtime.queueing import PollTimes
@@ -24,7 +25,8 @@
     Attributes:
         address: The address that it listens on.
         body_memory: The memory that bodies are counted in.
-        connections: The connections that are served, the longest idle first.
+        connections: The connections that are served, the least recently active first.
+        evictions: The number of connections that were closed to make room for others.
         draining: Whether each response is the last one of its connection.
         handler: The handler of the requests.
         poll_times: The times at which the event loop polled its sockets.
@@ -57,8 +59,9 @@
             OSError: If it can't listen on the address or the descriptor.
         """
         self.body_memory = body_memory or BodyMemory()
-        self.connections: dict[ClientConnection, None] = {}
+        self.connections: ConnectionTable[ClientConnection] = ConnectionTable()
         self.draining = False
+        self.evictions = 0
         self.handler = handler
         self.poll_times = poll_times or PollTimes(math.inf)
         self.settings = settings
@@ -79,28 +82,27 @@
         """Return whether the limit on connections is reached."""
         return len(self.connections) + len(self._opening) >= self._max_connections
 
-    def ensure_capacity(self) -> bool:
-        """Close the longest idle connection, preferring one that has carried a request.
+    def is_opening(self) -> bool:
+        """Return whether accepted connections are still being opened, so that their input is unread."""
+        return bool(self._opening)
 
-        A connection that has not carried one was opened for a request that may still be on its way.
+    def ensure_capacity(self, waited_s: float) -> bool:
+        """Evict a connection on which no complete request waits for its response.
+
+        Args:
+            waited_s: The time for which new connections have found no room, in seconds.
 
         Returns:
-            Whether a connection was closed.
+            Whether a connection was evicted.
         """
-        connection = self._longest_idle(has_served=True) or self._longest_idle(has_served=False)
+        connection = self.connections.select_victim(asyncio.get_running_loop().time(), waited_s)
         if connection is None:
             return False
-        connection.close()
-        del self.connections[connection]
+        self.evictions += 1
+        connection.evict()
+        self.connections.remove(connection)
         return True
 
-    def _longest_idle(self, has_served: bool) -> ClientConnection | None:
-        """Return the first idle connection; the rest is not checked, as each check is a system call."""
-        for connection in self.connections:
-            if connection.has_served is has_served and connection.is_idle():
-                return connection
-        return None
-
     def connection_accepted(self, sock: socket.socket, established_after: float) -> None:
         """Serve a connection that was established after this time on the event loop's clock."""
         sock.setblocking(False)
@@ -124,16 +126,19 @@
     def connection_opened(self, connection: ClientConnection) -> None:
         """Add a connection to those that are served."""
         self._opening.discard(connection)
-        self.connections[connection] = None
+        self.connections.add(connection)
+
+    def input_received(self, connection: ClientConnection) -> None:
+        """Record that a connection has received a part of a request."""
+        self.connections.record_input(connection)
 
     def connection_idle(self, connection: ClientConnection) -> None:
-        """Move a connection to the end of the idle order, as the most recently idle."""
-        if self.connections.pop(connection, self) is None:
-            self.connections[connection] = None
+        """Record that a connection waits for its next request."""
+        self.connections.record_kept_alive(connection)
 
     def connection_closed(self, connection: ClientConnection) -> None:
         """Stop tracking a connection."""
-        self.connections.pop(connection, None)
+        self.connections.remove(connection)
 
     def close_idle(self, only_used: bool) -> None:
         """Close idle connections; with `only_used`, keep those whose first request may be on its way."""
--- a/sidecar_balancer/downstream/request_deadline.py
+++ b/sidecar_balancer/downstream/request_deadline.py
@@ -6,7 +6,9 @@
 
 REQUEST_TIMEOUT_S = 2.5  # time limit that starts at the first byte of a head; slow clients take 2 s
 _BODY_START_TIMEOUT_S = 1.5  # time limit from the head to the first byte of the body
-_MIN_BODY_BYTES_PER_S = 32_000.0  # the slowest clients that must be served send twice as fast
+_STALL_S = 0.5  # clients that send a request in pieces seldom pause for longer
+_SLOWEST_BODY_BYTES_PER_S = 64_000.0  # rate of the slowest clients that must be served
+_MIN_BODY_BYTES_PER_S = _SLOWEST_BODY_BYTES_PER_S / 2
 
 
 class RequestDeadline:
@@ -40,3 +42,10 @@
         rate_limit = self.body_counted_since + _BODY_START_TIMEOUT_S + self.body_bytes / _MIN_BODY_BYTES_PER_S
         stall_limit = self.last_input_at + STALL_TIMEOUT_S
         return max(self.awaited_since + REQUEST_TIMEOUT_S, min(rate_limit, stall_limit))
+
+    def is_stalled(self, now: float, head_received: bool) -> bool:
+        """Return whether nothing arrived for some time, though the slowest clients would have sent more."""
+        if now - max(self.last_input_at, self.awaited_since) <= _STALL_S:
+            return False
+        on_schedule_s = _BODY_START_TIMEOUT_S + self.body_bytes / _SLOWEST_BODY_BYTES_PER_S
+        return not head_received or now - self.body_counted_since > on_schedule_s
--- /dev/null
+++ b/tests/downstream/test_connection_table.py
@@ -0,0 +1,93 @@
+"""Which client connection is closed to make room for another."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from sidecar_balancer.downstream.connection_table import ConnectionTable, EvictionClass
+
+NOW = 100.0
+LONG_WAIT_S = 1.0
+
+
+@dataclass(eq=False)
+class FakeConnection:
+    """A connection in a given state."""
+
+    state: EvictionClass
+    request_awaited_since: float = NOW - 10.0
+    unread: bool = False
+
+    def eviction_class(self, _now: float) -> EvictionClass:
+        return self.state
+
+    def has_unread_input(self) -> bool:
+        return self.unread
+
+
+def table_of(*connections: FakeConnection) -> ConnectionTable[FakeConnection]:
+    table: ConnectionTable[FakeConnection] = ConnectionTable()
+    for connection in connections:
+        table.add(connection)
+    return table
+
+
+def test_answered_clients_are_evicted_before_stalled_ones_and_these_before_new_ones() -> None:
+    receiving, unused, stalled, kept_alive = (
+        FakeConnection(EvictionClass.RECEIVING),
+        FakeConnection(EvictionClass.UNUSED),
+        FakeConnection(EvictionClass.STALLED),
+        FakeConnection(EvictionClass.UNUSED),
+    )
+    table = table_of(receiving, unused, stalled, kept_alive)
+    table.record_kept_alive(kept_alive)
+    for expected in (kept_alive, stalled, unused, receiving):
+        assert table.select_victim(NOW, LONG_WAIT_S) is expected
+        table.remove(expected)
+    assert table.select_victim(NOW, LONG_WAIT_S) is None
+
+
+# Guards against a request that is lost because its connection is closed to make room for another.
+def test_complete_and_unread_requests_are_never_given_up() -> None:
+    states = (EvictionClass.STALLED, EvictionClass.UNUSED, EvictionClass.RECEIVING)
+    unread = [FakeConnection(state, unread=True) for state in states]
+    table = table_of(FakeConnection(EvictionClass.BUSY), *unread)
+    kept_alive = FakeConnection(EvictionClass.UNUSED, unread=True)
+    table.add(kept_alive)
+    table.record_kept_alive(kept_alive)
+    assert table.select_victim(NOW, LONG_WAIT_S) is None
+
+
+def test_longest_silent_of_the_stalled_is_evicted() -> None:
+    first, second = FakeConnection(EvictionClass.STALLED), FakeConnection(EvictionClass.STALLED)
+    table = table_of(first, second)
+    table.record_input(first)
+    assert table.select_victim(NOW, 0.0) is second
+
+
+# Guards against a crowd that comes at once and pushes out slow clients that came before it.
+def test_latest_of_the_arriving_requests_is_evicted_and_an_early_one_only_after_a_wait() -> None:
+    early = FakeConnection(EvictionClass.RECEIVING, NOW - 1.0)
+    late = FakeConnection(EvictionClass.RECEIVING, NOW - 0.02)
+    latest = FakeConnection(EvictionClass.RECEIVING, NOW - 0.01)
+    table = table_of(early, latest, late)
+    assert table.select_victim(NOW, 0.0) is None
+    assert table.select_victim(NOW, 0.02) is latest
+    table.remove(latest)
+    table.remove(late)
+    assert table.select_victim(NOW, 0.02) is None
+    assert table.select_victim(NOW, LONG_WAIT_S) is early
+
+
+def test_connections_are_ordered_by_their_last_activity() -> None:
+    first, second, third = (FakeConnection(EvictionClass.UNUSED) for _ in range(3))
+    table = table_of(first, second, third)
+    table.record_input(first)
+    table.record_kept_alive(second)
+    assert list(table) == [third, first, second]
+    table.remove(second)
+    table.record_input(second)  # its input crossed its eviction
+    assert list(table) == [third, first]
+    assert len(table) == 2
+    assert first in table
+    assert second not in table
--- /dev/null
+++ b/tests/downstream/test_stopped_clients.py
@@ -0,0 +1,130 @@
+"""Clients that stop within a request and stay, on every connection that a sidecar may have."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+import pytest
+
+from loopback import SidecarEnvironment, http_response, read_response, request, running_sidecar
+from raw_server import Reader, Writer, connect_client
+from sidecar_balancer.downstream import request_deadline
+from virtual_clock import RunScenario
+
+MAX_CONNECTIONS = 8
+SOCKETS = 64 + 2 * MAX_CONNECTIONS
+CROWD = 3 * MAX_CONNECTIONS
+REQUESTS = 5
+MAX_ANSWER_S = 1.0  # far below the time limit of an incomplete request
+
+LOOK = request()
+SHORT_BODY = request("pay", body=bytes(1_000))
+LONG_BODY = request("pay", body=bytes(200_000))
+CHUNKED_HEAD = request("pay", Content_Length=None, Transfer_Encoding="chunked")
+INCOMPLETE_INPUTS = {
+    "nothing": b"",
+    "part of a head": LOOK[:40],
+    "part of a short body": SHORT_BODY[:-500],
+    "head of a long body": LONG_BODY[:-200_000],
+    "part of a long body": LONG_BODY[:-100_000],
+    "part of a chunk": CHUNKED_HEAD + b"100\r\nxx",
+    "answered request and a part of the next head": LOOK + LOOK[:40],
+}
+
+
+def served(*_: object) -> bytes:
+    return http_response(200, b"served")
+
+
+async def connect_stopped(environment: SidecarEnvironment, sent: bytes) -> tuple[Reader, Writer]:
+    """Connect a client that sends this and no more; a complete request in it is answered first."""
+    reader, writer = await connect_client(environment)
+    writer.write(sent)
+    if sent.startswith(LOOK):
+        assert (await read_response(reader))[0] == 200
+    return reader, writer
+
+
+@contextlib.asynccontextmanager
+async def stopped_crowd(
+    environment: SidecarEnvironment, sent: bytes, size: int
+) -> AsyncIterator[list[Reader]]:
+    """Connect as many stopped clients; they stay until the end."""
+    clients = [await connect_stopped(environment, sent) for _ in range(size)]
+    yield [reader for reader, _ in clients]
+    for _, writer in clients:
+        writer.close()
+
+
+async def read_end(reader: Reader) -> bytes:
+    """Return what a client receives until its connection ends."""
+    try:
+        return await reader.read()
+    except ConnectionError:
+        return b""
+
+
+# Guards against requests that wait in the kernel's queue until stopped clients reach their time limit.
+@pytest.mark.parametrize("sent", INCOMPLETE_INPUTS.values(), ids=INCOMPLETE_INPUTS)
+def test_requests_are_served_beside_clients_that_stopped(
+    sent: bytes, monkeypatch: pytest.MonkeyPatch, on_virtual_clock: RunScenario
+) -> None:
+    monkeypatch.setattr(request_deadline, "REQUEST_TIMEOUT_S", 60.0)
+
+    async def scenario() -> None:
+        async with (
+            running_sidecar(served, sockets=SOCKETS) as environment,
+            stopped_crowd(environment, sent, CROWD),
+        ):
+            for _ in range(REQUESTS):
+                started_at = asyncio.get_running_loop().time()
+                assert (await environment.send_request())[0] == 200
+                assert asyncio.get_running_loop().time() - started_at < MAX_ANSWER_S
+
+    on_virtual_clock(scenario())
+
+
+# Guards against slow clients that lose their requests to clients that stopped.
+def test_slow_clients_are_served_beside_clients_that_stopped(on_virtual_clock: RunScenario) -> None:
+    async def send_slowly(environment: SidecarEnvironment, data: bytes, parts: int, pause_s: float) -> int:
+        reader, writer = await connect_client(environment)
+        size = -(-len(data) // parts)
+        for start in range(0, len(data), size):
+            writer.write(data[start : start + size])
+            await asyncio.sleep(pause_s)
+        status = (await read_response(reader))[0]
+        writer.close()
+        return status
+
+    async def scenario() -> None:
+        async with running_sidecar(served, sockets=SOCKETS) as environment:
+            slow_head = asyncio.create_task(send_slowly(environment, LOOK, 8, 0.25))
+            slow_body = asyncio.create_task(send_slowly(environment, LONG_BODY, 4, 0.75))
+            await asyncio.sleep(0.2)
+            async with stopped_crowd(environment, LOOK[:40], CROWD):
+                for _ in range(REQUESTS):
+                    assert (await environment.send_request())[0] == 200
+                    await asyncio.sleep(0.2)
+                assert await slow_head == 200
+                assert await slow_body == 200
+
+    on_virtual_clock(scenario())
+
+
+# Guards against a request that is closed without a response because only a part of it has arrived.
+def test_partly_received_request_is_rejected_when_it_is_evicted(on_virtual_clock: RunScenario) -> None:
+    async def scenario() -> None:
+        async with (
+            running_sidecar(served, sockets=SOCKETS, graceful_shutdown=True) as environment,
+            stopped_crowd(environment, LONG_BODY[:-100_000], CROWD) as readers,
+        ):
+            assert (await environment.send_request())[0] == 200
+            responses = [await read_end(reader) for reader in readers]
+            statuses = {response.split(b" ")[1] for response in responses if response}
+            assert statuses == {b"503", b"408"}
+            assert environment.sidecar.frontend.evictions >= CROWD - MAX_CONNECTIONS
+            assert len(environment.sent()) == 1  # no server has received one of these requests
+
+    on_virtual_clock(scenario())
