Read the latest request's input before an earlier request is given up

Change: where the request that would be given up has unread input, new connections wait for it to be read, for 0.2 s at most in all.

--- a/sidecar_balancer/downstream/connection_table.py
+++ b/sidecar_balancer/downstream/connection_table.py
@@ -8,6 +8,7 @@
 
 _ESTABLISHED_AFTER_S = 0.1  # time from its start after which a request that is arriving is given up last
 _MAX_WAIT_S = 0.1  # longest time for which new connections wait before such a request is given up
+_MAX_READ_WAIT_S = 0.2  # the same, while input of the request that would be given up is still to be read
 
 
 class EvictionClass(enum.Enum):
@@ -111,9 +112,10 @@
         return None
     if waited_s < _MAX_WAIT_S:
         receiving = [each for each in receiving if now - each.request_awaited_since < _ESTABLISHED_AFTER_S]
-    return _first_without_input(
-        sorted(receiving, key=lambda connection: connection.request_awaited_since, reverse=True)
-    )
+    receiving.sort(key=lambda connection: connection.request_awaited_since, reverse=True)
+    if waited_s < _MAX_READ_WAIT_S and receiving and receiving[0].has_unread_input():
+        return None  # its input is read first, rather than an earlier request given up
+    return _first_without_input(receiving)
 
 
 def _first_without_input(connections: Iterable[ConnectionT]) -> ConnectionT | None:
--- a/tests/downstream/test_connection_table.py
+++ b/tests/downstream/test_connection_table.py
@@ -79,6 +79,15 @@
     assert table.select_victim(NOW, LONG_WAIT_S) is early
 
 
+# Guards against a slow client that is evicted while a later crowd has just sent more.
+def test_input_of_the_latest_request_is_read_before_an_earlier_one_is_given_up() -> None:
+    early = FakeConnection(EvictionClass.RECEIVING, NOW - 2.0)
+    late = FakeConnection(EvictionClass.RECEIVING, NOW - 1.0, unread=True)
+    table = table_of(early, late)
+    assert table.select_victim(NOW, 0.15) is None
+    assert table.select_victim(NOW, LONG_WAIT_S) is early
+
+
 def test_connections_are_ordered_by_their_last_activity() -> None:
     first, second, third = (FakeConnection(EvictionClass.UNUSED) for _ in range(3))
     table = table_of(first, second, third)
