End a request whose client stops in its body within 3 s

Callers saw: a client that stopped in a long body got its 408 after 4.6 s (100 kB sent) to 10 s (more), and one that took 2 s for its head and stopped in a short body 3.5 s after it connected.

Cause: RequestDeadline.due_at allowed 10 s of silence within a body, the limit for servers, and 1.5 s from a head to its body on top of the 2 s of a slow head.

Change: 2.5 s of silence end a body, and it begins 0.9 s after its head.

Why it works: 2.5 s, the grace of 0.05 s for unread input and a turn of the event loop are less than 3 s; 2.0 and 0.9 s likewise.

Measured: the new tests fail before for a body of which one byte is missing and for the slow head, the other states passed; now all pass. Bodies at 64 kB a second behind a head of 2 s are served in pieces of 4, 32 and 57 kB.

--- a/sidecar_balancer/downstream/request_deadline.py
+++ b/sidecar_balancer/downstream/request_deadline.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from sidecar_balancer.runtime.streams import STALL_TIMEOUT_S
-
 REQUEST_TIMEOUT_S = 2.5  # time limit that starts at the first byte of a head; slow clients take 2 s
-_BODY_START_TIMEOUT_S = 1.5  # time limit from the head to the first byte of the body
+_BODY_START_TIMEOUT_S = 0.9  # time limit from the head to the first byte of the body
+_BODY_SILENCE_TIMEOUT_S = 2.5  # time limit from one part of a body to the next
 _STALL_S = 0.5  # clients that send a request in pieces seldom pause for longer
 _SLOWEST_BODY_BYTES_PER_S = 64_000.0  # rate of the slowest clients that must be served
 _MIN_BODY_BYTES_PER_S = _SLOWEST_BODY_BYTES_PER_S / 2
@@ -40,8 +39,8 @@
         if not head_received:
             return self.awaited_since + REQUEST_TIMEOUT_S
         rate_limit = self.body_counted_since + _BODY_START_TIMEOUT_S + self.body_bytes / _MIN_BODY_BYTES_PER_S
-        stall_limit = self.last_input_at + STALL_TIMEOUT_S
-        return max(self.awaited_since + REQUEST_TIMEOUT_S, min(rate_limit, stall_limit))
+        silence_limit = self.last_input_at + _BODY_SILENCE_TIMEOUT_S
+        return max(self.awaited_since + REQUEST_TIMEOUT_S, min(rate_limit, silence_limit))
 
     def is_stalled(self, now: float, head_received: bool) -> bool:
         """Return whether nothing arrived for some time, though the slowest clients would have sent more."""
--- a/tests/downstream/test_stopped_clients.py
+++ b/tests/downstream/test_stopped_clients.py
@@ -18,6 +18,9 @@
 CROWD = 3 * MAX_CONNECTIONS
 REQUESTS = 5
 MAX_ANSWER_S = 1.0  # far below the time limit of an incomplete request
+MAX_ERROR_S = 3.0  # time in which a client that has stopped is owed an error or a close
+SLOWEST_HEAD_S = 2.0  # time that a client may take for a head
+SLOWEST_BODY_BYTES_PER_S = 64_000  # rate at which a client may send a body
 
 LOOK = request()
 SHORT_BODY = request("pay", body=bytes(1_000))
@@ -29,6 +32,7 @@
     "part of a short body": SHORT_BODY[:-500],
     "head of a long body": LONG_BODY[:-200_000],
     "part of a long body": LONG_BODY[:-100_000],
+    "most of a long body": LONG_BODY[:-1],
     "part of a chunk": CHUNKED_HEAD + b"100\r\nxx",
     "answered request and a part of the next head": LOOK + LOOK[:40],
 }
@@ -58,6 +62,14 @@
         writer.close()
 
 
+async def read_status_or_end(reader: Reader) -> bytes:
+    """Return the first bytes that a client receives, or none if its connection ends."""
+    try:
+        return await reader.read(len(b"HTTP/1.1 408"))
+    except ConnectionError:
+        return b""
+
+
 async def read_end(reader: Reader) -> bytes:
     """Return what a client receives until its connection ends."""
     try:
@@ -86,6 +98,56 @@
     on_virtual_clock(scenario())
 
 
+# Guards against clients that hold a connection, and a server's, for long after they have stopped in a body.
+@pytest.mark.parametrize("sent", INCOMPLETE_INPUTS.values(), ids=INCOMPLETE_INPUTS)
+def test_client_that_stops_gets_its_error_or_close_in_time(
+    sent: bytes, on_virtual_clock: RunScenario
+) -> None:
+    async def scenario() -> None:
+        async with running_sidecar(served, sockets=SOCKETS) as environment:
+            reader, writer = await connect_stopped(environment, sent)
+            stopped_at = asyncio.get_running_loop().time()
+            await read_status_or_end(reader)
+            assert asyncio.get_running_loop().time() - stopped_at <= MAX_ERROR_S
+            writer.close()
+
+    on_virtual_clock(scenario())
+
+
+def test_client_that_takes_long_for_its_head_and_stops_in_its_body_is_rejected_in_time(
+    on_virtual_clock: RunScenario,
+) -> None:
+    async def scenario() -> None:
+        async with running_sidecar(served, sockets=SOCKETS) as environment:
+            connected_at = asyncio.get_running_loop().time()
+            reader, writer = await connect_stopped(environment, SHORT_BODY[:40])
+            await asyncio.sleep(SLOWEST_HEAD_S)
+            writer.write(SHORT_BODY[40:-500])
+            assert b"408" in await read_status_or_end(reader)
+            assert asyncio.get_running_loop().time() - connected_at <= MAX_ERROR_S
+            writer.close()
+
+    on_virtual_clock(scenario())
+
+
+# Guards against giving up a body that arrives as fast as that of the slowest clients to be served.
+@pytest.mark.parametrize("piece", [4_000, 32_000, 57_000])
+def test_body_of_the_slowest_client_is_served(piece: int, on_virtual_clock: RunScenario) -> None:
+    async def scenario() -> None:
+        async with running_sidecar(served, sockets=SOCKETS) as environment:
+            reader, writer = await connect_stopped(environment, LONG_BODY[:40])
+            await asyncio.sleep(SLOWEST_HEAD_S)
+            head_bytes = len(LONG_BODY) - 200_000
+            writer.write(LONG_BODY[40:head_bytes])
+            for start in range(head_bytes, len(LONG_BODY), piece):
+                await asyncio.sleep(piece / SLOWEST_BODY_BYTES_PER_S)
+                writer.write(LONG_BODY[start : start + piece])
+            assert (await read_response(reader))[0] == 200
+            writer.close()
+
+    on_virtual_clock(scenario())
+
+
 # Guards against slow clients that lose their requests to clients that stopped.
 def test_slow_clients_are_served_beside_clients_that_stopped(on_virtual_clock: RunScenario) -> None:
     async def send_slowly(environment: SidecarEnvironment, data: bytes, parts: int, pause_s: float) -> int:
