Leave requests whose bodies are still arriving out of the balancer's load

Callers would see: once an overload has sized the concurrency window, clients that stop within long bodies fill it, and all other requests are shed with 503 as long as they stay.

Cause: LoadTracker counts an attempt from when it is sent, for a streamed body before its last byte, though no server can begin until then.

Change: attempts whose client still sends the body are counted apart, and become load when the body ends. in_flight of a server, which the choice uses, is as it was. test_any_sequence.py now also checks the new count and that of ejected servers after every step.

--- a/sidecar_balancer/policy/components.py
+++ b/sidecar_balancer/policy/components.py
@@ -171,6 +171,7 @@
             self._settings.tick_us,
             received=self._requests_received,
             latency=self.latency,
+            load=self.load,
             admission=self.admission,
             placement=self.placement,
             table=self.requests,
--- a/sidecar_balancer/policy/endpoint.py
+++ b/sidecar_balancer/policy/endpoint.py
@@ -31,6 +31,7 @@
     slow_start_tokens: float = 0.0  # tokens for attempts while warming up, in requests of mean cost
     slow_start_tokens_at: int = 0
     in_flight: int = 0
+    awaiting_body: int = 0  # the part of `in_flight` whose clients still send the body
     abandoned_until: list[int] = field(default_factory=list)  # times until which abandoned attempts count
     last_response_at: int = -1
     consecutive_failures: int = 0
--- a/sidecar_balancer/policy/intake.py
+++ b/sidecar_balancer/policy/intake.py
@@ -13,6 +13,7 @@
     RequestReceived,
 )
 from sidecar_balancer.policy.latency import LatencyTracker
+from sidecar_balancer.policy.load import LoadTracker
 from sidecar_balancer.policy.outliers import OutlierDetector
 from sidecar_balancer.policy.placement import Placement
 from sidecar_balancer.policy.rates import Rate
@@ -37,6 +38,7 @@
         clock_tick_us: int,
         received: Rate,
         latency: LatencyTracker,
+        load: LoadTracker,
         admission: AdmissionControl,
         placement: Placement,
         table: RequestTable,
@@ -49,6 +51,7 @@
         self._deadline_margin_us = DEADLINE_MARGIN_TICKS * clock_tick_us
         self._received = received
         self._latency = latency
+        self._load = load
         self._admission = admission
         self._placement = placement
         self._table = table
@@ -87,6 +90,9 @@
         self._start_deadline(now, request, event.remaining_us)
         for attempt in request.attempts:
             if attempt.pending:
+                if attempt.awaits_body and not attempt.response_started:
+                    self._load.body_completed(attempt.server)
+                attempt.awaits_body = False
                 attempt.sent_at, attempt.stalled_us_at_send = now, self._stalls.stalled_us
                 attempt.responses_at_send = self._outliers.responses
                 overdue_at = now + self._latency.overdue_after_us(request, attempt.server)
--- a/sidecar_balancer/policy/load.py
+++ b/sidecar_balancer/policy/load.py
@@ -14,12 +14,17 @@
 
 
 class LoadTracker:
-    """Counts attempts in flight, including abandoned ones, at servers that are not ejected."""
+    """Counts attempts in flight, including abandoned ones, at servers that are not ejected.
+
+    An attempt whose client still sends the body is no load: its server can't have begun, and clients that
+    stop within their bodies must not fill the concurrency window.
+    """
 
     def __init__(self, longest_objective_us: int) -> None:
         self._longest_objective_us = longest_objective_us
         self.pending = 0  # attempts whose response has not started
-        self.pending_at_ejected = 0  # the part of `pending` at ejected servers
+        self.awaiting_body = 0  # the part of `pending` whose clients still send the body
+        self.pending_at_ejected = 0  # the part of `pending` at ejected servers, without those
         self.mean = 0.0
         self._abandoned_until: list[int] = []  # heap of the clock times until which abandoned attempts count
         self._averaged_at = 0
@@ -29,7 +34,7 @@
         abandoned = self._abandoned_until
         while abandoned and abandoned[0] <= now:
             heapq.heappop(abandoned)
-        return self.pending - self.pending_at_ejected + len(abandoned)
+        return self.pending - self.awaiting_body - self.pending_at_ejected + len(abandoned)
 
     def update_mean(self, now: int, window: float) -> None:
         """Update the mean load, bounded by the window, as a mean far above it would delay recovery."""
@@ -49,27 +54,40 @@
         """Return how many servers this balancer has enough traffic to measure."""
         return int(SUBSET_MIN + SUBSET_PER_LOAD * self.mean)
 
-    def attempt_sent(self, server: Server) -> None:
-        """Count an attempt that is sent."""
+    def attempt_sent(self, server: Server, awaits_body: bool) -> None:
+        """Count an attempt that is sent; `awaits_body` says that its client still sends the body."""
         server.in_flight += 1
         self.pending += 1
+        if awaits_body:
+            server.awaiting_body += 1
+            self.awaiting_body += 1
+        elif server.ejected_until is not None:
+            self.pending_at_ejected += 1
+
+    def body_completed(self, server: Server) -> None:
+        """Count an attempt as load from now on, as its client has sent the whole body."""
+        server.awaiting_body -= 1
+        self.awaiting_body -= 1
         if server.ejected_until is not None:
             self.pending_at_ejected += 1
 
-    def attempt_released(self, server: Server) -> None:
+    def attempt_released(self, server: Server, awaits_body: bool) -> None:
         """Stop counting an attempt, which has ended or whose response has started."""
         server.in_flight -= 1
         self.pending -= 1
-        if server.ejected_until is not None:
+        if awaits_body:
+            server.awaiting_body -= 1
+            self.awaiting_body -= 1
+        elif server.ejected_until is not None:
             self.pending_at_ejected -= 1
 
     def server_ejected(self, server: Server) -> None:
-        """Exclude the pending attempts at a server."""
-        self.pending_at_ejected += server.in_flight
+        """Exclude the load at a server."""
+        self.pending_at_ejected += server.in_flight - server.awaiting_body
 
     def server_readmitted(self, server: Server) -> None:
-        """Include the pending attempts at a server again."""
-        self.pending_at_ejected -= server.in_flight
+        """Include the load at a server again."""
+        self.pending_at_ejected -= server.in_flight - server.awaiting_body
 
     def attempt_abandoned(self, server: Server, until: int) -> None:
         """Count an abandoned attempt until clock time `until`, as it may still run on the server."""
--- a/sidecar_balancer/policy/send_gate.py
+++ b/sidecar_balancer/policy/send_gate.py
@@ -54,7 +54,8 @@
             len(request.attempts), server, now, self._stalls.stalled_us, self._outliers.responses
         )
         request.attempts.append(attempt)
-        self._load.attempt_sent(server)
+        attempt.awaits_body = request.body_open
+        self._load.attempt_sent(server, attempt.awaits_body)
         if server.ejected_until is not None:
             attempt.is_trial = server.trial_pending = True
         if request.answer_deadline != NO_DEADLINE:
--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -4,6 +4,8 @@
 
 import math
 
+import pytest
+
 from balancer_driver import BalancerDriver, serve_one_at_a_time
 from policy_settings import IDEMPOTENT, MS, NON_IDEMPOTENT, S, server_names, settings
 from sidecar_balancer.policy.actions import (
@@ -11,8 +13,14 @@
     Fail,
     Reject,
 )
+from sidecar_balancer.policy.endpoint import Server
+from sidecar_balancer.policy.events import RequestBodyEnded, RequestReceived
+from sidecar_balancer.policy.load import LoadTracker
 from sidecar_balancer.policy.types import Outcome
 
+FIRST_BODY = 100_000  # number of the first request whose body is still arriving
+BODIES = 40
+
 
 def _overload(driver: BalancerDriver, ticks: int) -> None:
     """Send four requests for each response, so that latency keeps growing."""
@@ -33,6 +41,75 @@
                 driver.end_attempt(request, attempt=0)
 
 
+def _driver_after_an_overload() -> BalancerDriver:
+    driver = BalancerDriver()
+    driver.serve_traffic(1)
+    _overload(driver, 400)
+    driver.advance(10 * S)
+    for request in list(driver.balancer.open_requests.values()):
+        for attempt in request.attempts:
+            if attempt.pending:
+                driver.end_attempt(request.request_id, Outcome.CANCELLED, attempt.index, answered=True)
+    driver.advance(11 * S)  # abandoned attempts count as load for their duration again
+    driver.serve_traffic(150)  # a small window takes several objectives to grow
+    return driver
+
+
+def _receive_bodies(driver: BalancerDriver, count: int) -> list[int]:
+    """Feed requests whose bodies are still arriving; return their numbers."""
+    numbers = list(range(FIRST_BODY, FIRST_BODY + count))
+    for number in numbers:
+        driver.feed(RequestReceived(number, "pay", None, None, 1 * S, body_open=True))
+    return numbers
+
+
+# Guards against clients that stop within their bodies and fill the concurrency window: all others were shed.
+def test_requests_are_admitted_beside_bodies_that_do_not_end() -> None:
+    driver = _driver_after_an_overload()
+    assert driver.balancer.window < BODIES
+    rejections_before = len(driver.actions_of(Reject))
+    _receive_bodies(driver, BODIES)
+    for _ in range(50):
+        driver.advance(20 * MS)
+        request = driver.request()
+        assert driver.attempts(request)
+        driver.end_attempt(request)
+    assert len(driver.actions_of(Reject)) == rejections_before
+
+
+def test_bodies_count_as_load_once_they_have_ended() -> None:
+    driver = _driver_after_an_overload()
+    numbers = _receive_bodies(driver, BODIES)
+    load_before = driver.balancer.load
+    for number in numbers:
+        driver.feed(RequestBodyEnded(number, 1 * S))
+    assert driver.balancer.load == load_before + BODIES
+    assert not driver.attempts(driver.request())
+    for number in numbers:
+        driver.end_attempt(number)
+    assert driver.balancer.load == load_before
+    assert driver.balancer.components.load.awaiting_body == 0
+
+
+@pytest.mark.parametrize("body_ends", [False, True])
+def test_load_at_an_ejected_server_leaves_out_bodies_that_are_still_arriving(body_ends: bool) -> None:
+    server = Server("s-0", order_key=0.5)
+    load = LoadTracker(1 * S)
+    load.attempt_sent(server, True)
+    load.attempt_sent(server, False)
+    load.server_ejected(server)
+    server.ejected_until = 1 * S
+    if body_ends:
+        load.body_completed(server)
+    assert load.current(0) == 0
+    load.attempt_released(server, not body_ends)
+    load.attempt_released(server, False)
+    server.ejected_until = None
+    load.server_readmitted(server)
+    counters = (load.pending, load.awaiting_body, load.pending_at_ejected, load.current(0))
+    assert counters == (0, 0, 0, 0)
+
+
 def test_a_surge_is_rejected_before_sending_and_low_priorities_are_shed_more() -> None:
     driver = BalancerDriver()
     driver.receive_list(server_names(4))
@@ -48,16 +125,7 @@
 
 
 def test_everything_is_admitted_once_the_load_has_fallen() -> None:
-    driver = BalancerDriver()
-    driver.serve_traffic(1)
-    _overload(driver, 400)
-    driver.advance(10 * S)
-    for request in list(driver.balancer.open_requests.values()):
-        for attempt in request.attempts:
-            if attempt.pending:
-                driver.end_attempt(request.request_id, Outcome.CANCELLED, attempt.index, answered=True)
-    driver.advance(11 * S)  # abandoned attempts count as load for their duration again
-    driver.serve_traffic(150)  # a small window takes several objectives to grow
+    driver = _driver_after_an_overload()
     rejected = len(driver.actions_of(Reject))
     driver.serve_traffic(300)
     assert len(driver.actions_of(Reject)) == rejected
--- a/tests/policy/test_any_sequence.py
+++ b/tests/policy/test_any_sequence.py
@@ -196,11 +196,20 @@
 
     def check_in_flight(self) -> None:
         in_flight: dict[str, int] = dict.fromkeys(SERVERS, 0)
+        awaiting_body: dict[str, int] = dict.fromkeys(SERVERS, 0)
         for request in self.requests.values():
             for attempt in request.attempts:
-                in_flight[attempt.server] += attempt.pending and not attempt.response_started
+                is_counted = attempt.pending and not attempt.response_started
+                in_flight[attempt.server] += is_counted
+                awaiting_body[attempt.server] += is_counted and request.body_open
         for name, server in self.balancer.servers.items():
             assert server.in_flight == in_flight[name], "the count of requests in flight is wrong"
+            assert server.awaiting_body == awaiting_body[name], "the count of open bodies is wrong"
+        load = self.balancer.components.load
+        at_ejected = [each for each in self.balancer.servers.values() if each.ejected_until is not None]
+        counted_at_ejected = sum(each.in_flight - each.awaiting_body for each in at_ejected)
+        assert load.awaiting_body == sum(awaiting_body.values())
+        assert load.pending_at_ejected == counted_at_ejected
 
     def check_deadlines(self) -> None:
         for request in self.requests.values():
--- a/tests/support/loopback.py
+++ b/tests/support/loopback.py
@@ -268,6 +268,7 @@
     assert not balancer.open_requests
     assert balancer.pending_attempts == 0
     assert balancer.components.load.pending_at_ejected == 0
+    assert balancer.components.load.awaiting_body == 0
     assert [each.in_flight for each in balancer.servers.values() if each.in_flight] == []
     assert endpoint_pool.open_count == 0
     assert sidecar.frontend.is_empty()
