Bound each pause within a body, also after much of it has arrived

Clients that stop are owed their error within 3 s.

Cause: RequestDeadline allowed a body the time of all bytes received so far, so that what came fast paid for a trickle after it; the limit on silence starts anew at each byte.

Change: what a byte allows is capped at 2.5 s from the part it belongs to. That one rule replaces the counts of bytes and the limit on silence. For eviction a body counts as stalled after 1 s of silence, a head after 0.5 s.

--- a/sidecar_balancer/downstream/client_connection.py
+++ b/sidecar_balancer/downstream/client_connection.py
@@ -308,7 +308,7 @@
             self._transport.write(self._h11.send(continue_response) or b"")
 
     def _receive_body(self, data: bytes | bytearray) -> None:
-        self._deadline.body_bytes += len(data)
+        self._deadline.body_received(asyncio.get_running_loop().time(), len(data))
         if self._upload is not None:
             self._receive_upload(self._upload, data)
             return
--- a/sidecar_balancer/downstream/request_deadline.py
+++ b/sidecar_balancer/downstream/request_deadline.py
@@ -4,10 +4,10 @@
 
 REQUEST_TIMEOUT_S = 2.5  # time limit that starts at the first byte of a head; slow clients take 2 s
 _BODY_START_TIMEOUT_S = 0.9  # time limit from the head to the first byte of the body
-_BODY_SILENCE_TIMEOUT_S = 2.5  # time limit from one part of a body to the next
-_STALL_S = 0.5  # clients that send a request in pieces seldom pause for longer
-_SLOWEST_BODY_BYTES_PER_S = 64_000.0  # rate of the slowest clients that must be served
-_MIN_BODY_BYTES_PER_S = _SLOWEST_BODY_BYTES_PER_S / 2
+_BODY_SILENCE_TIMEOUT_S = 2.5  # time limit from one part of a body to the next, however much came before
+_MIN_BODY_BYTES_PER_S = 32_000.0  # the slowest clients that must be served send twice as fast
+_HEAD_STALL_S = 0.5  # silence that is longer than the usual pause of a client that sends in pieces
+_BODY_STALL_S = 1.0  # the same within a body: time of 64 kB at the rate of the slowest clients
 
 
 class RequestDeadline:
@@ -15,36 +15,34 @@
 
     Attributes:
         awaited_since: The time at which the wait for the request began.
-        body_counted_since: The time from which the bytes of its body are counted.
-        body_bytes: The number of bytes received since then.
+        body_due_at: The time by which more of its body must arrive, from the end of its head.
         last_input_at: The time at which the last input arrived.
     """
 
-    __slots__ = ("awaited_since", "body_bytes", "body_counted_since", "last_input_at")
+    __slots__ = ("awaited_since", "body_due_at", "last_input_at")
 
     def __init__(self) -> None:
         """Start without a request."""
         self.awaited_since = 0.0
-        self.body_counted_since = 0.0
-        self.body_bytes = 0
+        self.body_due_at = 0.0
         self.last_input_at = 0.0
 
     def restart_body(self, now: float) -> None:
-        """Restart the count of the body after its head was received or reading was resumed."""
-        self.body_counted_since = self.last_input_at = now
-        self.body_bytes = 0
+        """Restart the limit of the body after its head was received or reading was resumed."""
+        self.body_due_at = now + _BODY_START_TIMEOUT_S
+        self.last_input_at = now
+
+    def body_received(self, now: float, size: int) -> None:
+        """Move the limit of the body on by the time that the slowest client may take for `size` bytes."""
+        due_at = self.body_due_at + size / _MIN_BODY_BYTES_PER_S
+        self.body_due_at = min(due_at, now + _BODY_SILENCE_TIMEOUT_S)
 
     def due_at(self, head_received: bool) -> float:
         """Return the deadline; that of a body moves on as long as the body arrives."""
-        if not head_received:
-            return self.awaited_since + REQUEST_TIMEOUT_S
-        rate_limit = self.body_counted_since + _BODY_START_TIMEOUT_S + self.body_bytes / _MIN_BODY_BYTES_PER_S
-        silence_limit = self.last_input_at + _BODY_SILENCE_TIMEOUT_S
-        return max(self.awaited_since + REQUEST_TIMEOUT_S, min(rate_limit, silence_limit))
+        limit = self.awaited_since + REQUEST_TIMEOUT_S
+        return max(limit, self.body_due_at) if head_received else limit
 
     def is_stalled(self, now: float, head_received: bool) -> bool:
-        """Return whether nothing arrived for some time, though the slowest clients would have sent more."""
-        if now - max(self.last_input_at, self.awaited_since) <= _STALL_S:
-            return False
-        on_schedule_s = _BODY_START_TIMEOUT_S + self.body_bytes / _SLOWEST_BODY_BYTES_PER_S
-        return not head_received or now - self.body_counted_since > on_schedule_s
+        """Return whether nothing has arrived for longer than a client that sends in pieces usually pauses."""
+        silence_s = now - max(self.last_input_at, self.awaited_since)
+        return silence_s > (_BODY_STALL_S if head_received else _HEAD_STALL_S)
--- a/tests/downstream/test_stopped_clients.py
+++ b/tests/downstream/test_stopped_clients.py
@@ -114,6 +114,25 @@
     on_virtual_clock(scenario())
 
 
+# Guards against a client that has sent much and keeps its connection with single bytes after that.
+def test_client_that_goes_on_byte_by_byte_within_its_body_is_rejected_in_time(
+    on_virtual_clock: RunScenario,
+) -> None:
+    async def scenario() -> None:
+        async with running_sidecar(served, sockets=SOCKETS) as environment:
+            reader, writer = await connect_stopped(environment, LONG_BODY[:-100])
+            stopped_at = asyncio.get_running_loop().time()
+            response = asyncio.create_task(read_status_or_end(reader))
+            while not response.done():
+                writer.write(b"x")
+                await asyncio.wait((response,), timeout=0.1)
+            assert b"408" in response.result()
+            assert asyncio.get_running_loop().time() - stopped_at <= MAX_ERROR_S
+            writer.close()
+
+    on_virtual_clock(scenario())
+
+
 def test_client_that_takes_long_for_its_head_and_stops_in_its_body_is_rejected_in_time(
     on_virtual_clock: RunScenario,
 ) -> None:
--- a/tests/downstream/test_upload_streaming.py
+++ b/tests/downstream/test_upload_streaming.py
@@ -290,15 +290,21 @@
             await wait_until(lambda: connection._head is not None)
             deadline = connection._deadline
             deadline.awaited_since = 100.0
-            for counted_since, body_bytes, last_input_at, due_at in (
-                (100.0, 0, 100.0, 102.5),  # a head without a body
-                (102.0, 0, 102.0, 102.9),  # a slow head
-                (102.0, 64_000, 103.0, 104.9),  # the slowest client to serve, with as much time to spare
-                (102.0, 32_000_000, 103.0, 105.5),  # bytes that arrived fast don't allow a longer stall
+            for head_at, pieces, due_at in (
+                (100.0, [], 102.5),  # a head without a body
+                (102.0, [], 102.9),  # a slow head
+                (102.0, [(103.0, 64_000)], 104.9),  # the slowest client to serve, with as much time to spare
+                (102.0, [(103.0, 32_000_000)], 105.5),  # bytes that arrived fast don't allow a longer stall,
+                (
+                    102.0,
+                    [(103.0, 32_000_000), (104.0, 0), (105.0, 32)],
+                    105.501,
+                ),  # nor single bytes after them
             ):
-                deadline.body_counted_since, deadline.body_bytes = counted_since, body_bytes
-                deadline.last_input_at = last_input_at
-                assert deadline.due_at(connection._head is not None) == due_at
+                deadline.restart_body(head_at)
+                for received_at, size in pieces:
+                    deadline.body_received(received_at, size)
+                assert deadline.due_at(connection._head is not None) == pytest.approx(due_at, abs=1e-9)
             writer.close()
 
     run_scenario(scenario())
