--- a/sidecar_balancer/downstream/acceptor.py
+++ b/sidecar_balancer/downstream/acceptor.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from sidecar_balancer.addresses import Address
+from sidecar_balancer.downstream.connection_table import NO_WAIT, RoomWait
 from sidecar_balancer.runtime.queueing import BacklogAge, PollTimes
 from sidecar_balancer.runtime.sockets import is_readable
 
@@ -27,11 +28,11 @@
     def is_opening(self) -> bool:
         """Return whether accepted connections are still being opened, so that their input is unread."""
 
-    def ensure_capacity(self, waited_s: float) -> bool:
+    def ensure_capacity(self, wait: RoomWait) -> bool:
         """Make room for one more connection; return whether that succeeded.
 
         Args:
-            waited_s: The time for which new connections have found no room, in seconds.
+            wait: For how long new connections have found no room.
         """
 
     def connection_accepted(self, sock: socket.socket, established_after: float) -> None:
@@ -63,7 +64,8 @@
         self._poll_times = poll_times
         self._handler = handler
         self._is_accepting = False
-        self._without_room_since: float | None = None  # set while connections wait for room
+        self._without_room_since: float | None = None  # set until no connection waits for room
+        self._last_accepted_at = 0.0
 
     def start(self) -> None:
         """Start accepting connections."""
@@ -92,36 +94,41 @@
         """Accept connections; return whether more may be waiting."""
         self._sock.setblocking(False)  # processes that share an inherited socket share this flag
         now, unread_since = asyncio.get_running_loop().time(), self._poll_times.unread_since
-        waited_s = self._waited_for_room_s(now)
+        wait = self._room_wait(now)
         for _ in range(_MAX_ACCEPTS_PER_TURN):
             if self._handler.is_full():
                 if not is_readable(self._sock):  # no connection is waiting
-                    self._backlog.record_emptied()
+                    self._record_emptied()
                     return False
-                if not self._handler.ensure_capacity(waited_s):
+                if not self._handler.ensure_capacity(wait):
                     self._pause_for_resources(unread_since, now)
                     return False
             try:
                 sock, _ = self._sock.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                self._backlog.record_emptied()
+                self._record_emptied()
                 return False
             except OSError as error:
                 _log_failure(error)
-                self._handler.ensure_capacity(waited_s)  # frees a descriptor
+                self._handler.ensure_capacity(wait)  # frees a descriptor
                 self._pause_for_resources(unread_since, now)
                 return False
-            self._without_room_since = None
+            self._last_accepted_at = now
             self._handler.connection_accepted(sock, self._backlog.oldest_arrival(unread_since))
             self._backlog.record_accepted(now)
         self._backlog.record_remaining(unread_since, now)
         return True
 
-    def _waited_for_room_s(self, now: float) -> float:
-        """Return the time for which connections have waited; none while accepted ones are being opened."""
+    def _record_emptied(self) -> None:
+        self._backlog.record_emptied()
+        self._without_room_since = None
+
+    def _room_wait(self, now: float) -> RoomWait:
+        """Return for how long connections have waited; not at all while accepted ones are being opened."""
         if self._without_room_since is None or self._handler.is_opening():
-            return 0.0
-        return now - self._without_room_since
+            return NO_WAIT
+        accepted_at = max(self._last_accepted_at, self._without_room_since)
+        return RoomWait(now - self._without_room_since, now - accepted_at)
 
     def _pause_for_resources(self, unread_since: float, now: float) -> None:
         self._backlog.record_remaining(unread_since, now)
--- a/sidecar_balancer/downstream/connection_table.py
+++ b/sidecar_balancer/downstream/connection_table.py
@@ -4,11 +4,13 @@
 
 import enum
 from collections.abc import Collection, Iterable, Iterator
+from dataclasses import dataclass
 from typing import Protocol, TypeVar
 
 _ESTABLISHED_AFTER_S = 0.1  # time from its start after which a request that is arriving is given up last
-_MAX_WAIT_S = 0.1  # longest time for which new connections wait before such a request is given up
+_MAX_WAIT_S = 0.1  # longest time for which no connection is accepted before such a request is given up
 _MAX_READ_WAIT_S = 0.2  # the same, while input of the request that would be given up is still to be read
+_MAX_QUEUE_S = 0.3  # longest time for which connections wait, though some are accepted meanwhile
 
 
 class EvictionClass(enum.Enum):
@@ -20,6 +22,26 @@
     BUSY = "busy"  # a complete request waits for its response, or the response is being sent
 
 
+@dataclass(frozen=True, slots=True)
+class RoomWait:
+    """For how long new connections have found no room, in seconds.
+
+    Attributes:
+        queued_s: The time since connections began to wait.
+        since_accept_s: The part of it since the last one was accepted.
+    """
+
+    queued_s: float = 0.0
+    since_accept_s: float = 0.0
+
+    def is_over(self) -> bool:
+        """Return whether an established request may be given up for a new connection."""
+        return self.since_accept_s >= _MAX_WAIT_S or self.queued_s >= _MAX_QUEUE_S
+
+
+NO_WAIT = RoomWait()
+
+
 class EvictableConnection(Protocol):
     """A client connection, as far as the choice depends on it; times are on the event loop's clock."""
 
@@ -81,16 +103,16 @@
             self.remove(connection)
             self._connections[connection] = self._kept_alive[connection] = None
 
-    def select_victim(self, now: float, waited_s: float) -> ConnectionT | None:
+    def select_victim(self, now: float, wait: RoomWait) -> ConnectionT | None:
         """Return the connection to evict, or None if all must stay for now.
 
         Args:
             now: The time on the event loop's clock.
-            waited_s: The time for which new connections have found no room, in seconds.
+            wait: For how long new connections have found no room.
         """
-        return _first_without_input(self._kept_alive) or self._select_incomplete(now, waited_s)
+        return _first_without_input(self._kept_alive) or self._select_incomplete(now, wait)
 
-    def _select_incomplete(self, now: float, waited_s: float) -> ConnectionT | None:
+    def _select_incomplete(self, now: float, wait: RoomWait) -> ConnectionT | None:
         unused, receiving = list[ConnectionT](), list[ConnectionT]()
         for connection in self._connections:
             eviction_class = connection.eviction_class(now)
@@ -100,20 +122,20 @@
                 unused.append(connection)
             elif eviction_class is EvictionClass.RECEIVING:
                 receiving.append(connection)
-        return _first_without_input(unused) or _select_latest(receiving, now, waited_s)
+        return _first_without_input(unused) or _select_latest(receiving, now, wait)
 
 
-def _select_latest(receiving: list[ConnectionT], now: float, waited_s: float) -> ConnectionT | None:
+def _select_latest(receiving: list[ConnectionT], now: float, wait: RoomWait) -> ConnectionT | None:
     """Return the connection whose request began last; an established one only after some time without room.
 
     Meanwhile requests end, clients stall, and the first input of new connections is read.
     """
-    if not waited_s:
+    if wait == NO_WAIT:
         return None
-    if waited_s < _MAX_WAIT_S:
+    if not wait.is_over():
         receiving = [each for each in receiving if now - each.request_awaited_since < _ESTABLISHED_AFTER_S]
     receiving.sort(key=lambda connection: connection.request_awaited_since, reverse=True)
-    if waited_s < _MAX_READ_WAIT_S and receiving and receiving[0].has_unread_input():
+    if wait.since_accept_s < _MAX_READ_WAIT_S and receiving and receiving[0].has_unread_input():
         return None  # its input is read first, rather than an earlier request given up
     return _first_without_input(receiving)
 
--- a/sidecar_balancer/downstream/frontend.py
+++ b/sidecar_balancer/downstream/frontend.py
@@ -9,7 +9,7 @@
 from sidecar_balancer.addresses import Address
 from sidecar_balancer.downstream.acceptor import Acceptor
 from sidecar_balancer.downstream.client_connection import ClientConnection
-from sidecar_balancer.downstream.connection_table import ConnectionTable
+from sidecar_balancer.downstream.connection_table import NO_WAIT, ConnectionTable, RoomWait
 from sidecar_balancer.downstream.request import RequestHandler
 from sidecar_balancer.policy.settings import Settings
 from sidecar_balancer.runtime.queueing import PollTimes
@@ -86,16 +86,18 @@
         """Return whether accepted connections are still being opened, so that their input is unread."""
         return bool(self._opening)
 
-    def ensure_capacity(self, waited_s: float) -> bool:
+    def ensure_capacity(self, wait: RoomWait) -> bool:
         """Evict a connection on which no complete request waits for its response.
 
         Args:
-            waited_s: The time for which new connections have found no room, in seconds.
+            wait: For how long new connections have found no room.
 
         Returns:
             Whether a connection was evicted.
         """
-        connection = self.connections.select_victim(asyncio.get_running_loop().time(), waited_s)
+        if 2 * len(self._opening) >= self._max_connections:
+            wait = NO_WAIT  # as many have come at once that their input is read before requests are given up
+        connection = self.connections.select_victim(asyncio.get_running_loop().time(), wait)
         if connection is None:
             return False
         self.evictions += 1
--- a/tests/downstream/test_connection_table.py
+++ b/tests/downstream/test_connection_table.py
@@ -4,10 +4,15 @@
 
 from dataclasses import dataclass
 
-from sidecar_balancer.downstream.connection_table import ConnectionTable, EvictionClass
+from sidecar_balancer.downstream.connection_table import (
+    NO_WAIT,
+    ConnectionTable,
+    EvictionClass,
+    RoomWait,
+)
 
 NOW = 100.0
-LONG_WAIT_S = 1.0
+LONG_WAIT = RoomWait(1.0, 1.0)
 
 
 @dataclass(eq=False)
@@ -42,9 +47,9 @@
     table = table_of(receiving, unused, stalled, kept_alive)
     table.record_kept_alive(kept_alive)
     for expected in (kept_alive, stalled, unused, receiving):
-        assert table.select_victim(NOW, LONG_WAIT_S) is expected
+        assert table.select_victim(NOW, LONG_WAIT) is expected
         table.remove(expected)
-    assert table.select_victim(NOW, LONG_WAIT_S) is None
+    assert table.select_victim(NOW, LONG_WAIT) is None
 
 
 # Guards against a request that is lost because its connection is closed to make room for another.
@@ -55,14 +60,14 @@
     kept_alive = FakeConnection(EvictionClass.UNUSED, unread=True)
     table.add(kept_alive)
     table.record_kept_alive(kept_alive)
-    assert table.select_victim(NOW, LONG_WAIT_S) is None
+    assert table.select_victim(NOW, LONG_WAIT) is None
 
 
 def test_longest_silent_of_the_stalled_is_evicted() -> None:
     first, second = FakeConnection(EvictionClass.STALLED), FakeConnection(EvictionClass.STALLED)
     table = table_of(first, second)
     table.record_input(first)
-    assert table.select_victim(NOW, 0.0) is second
+    assert table.select_victim(NOW, NO_WAIT) is second
 
 
 # Guards against a crowd that comes at once and pushes out slow clients that came before it.
@@ -71,12 +76,14 @@
     late = FakeConnection(EvictionClass.RECEIVING, NOW - 0.02)
     latest = FakeConnection(EvictionClass.RECEIVING, NOW - 0.01)
     table = table_of(early, latest, late)
-    assert table.select_victim(NOW, 0.0) is None
-    assert table.select_victim(NOW, 0.02) is latest
+    assert table.select_victim(NOW, NO_WAIT) is None
+    assert table.select_victim(NOW, RoomWait(0.02, 0.02)) is latest
     table.remove(latest)
     table.remove(late)
-    assert table.select_victim(NOW, 0.02) is None
-    assert table.select_victim(NOW, LONG_WAIT_S) is early
+    assert table.select_victim(NOW, RoomWait(0.02, 0.02)) is None
+    assert table.select_victim(NOW, RoomWait(0.2, 0.02)) is None
+    assert table.select_victim(NOW, RoomWait(0.1, 0.1)) is early
+    assert table.select_victim(NOW, RoomWait(0.3, 0.02)) is early
 
 
 # Guards against a slow client that is evicted while a later crowd has just sent more.
@@ -84,8 +91,8 @@
     early = FakeConnection(EvictionClass.RECEIVING, NOW - 2.0)
     late = FakeConnection(EvictionClass.RECEIVING, NOW - 1.0, unread=True)
     table = table_of(early, late)
-    assert table.select_victim(NOW, 0.15) is None
-    assert table.select_victim(NOW, LONG_WAIT_S) is early
+    assert table.select_victim(NOW, RoomWait(0.15, 0.15)) is None
+    assert table.select_victim(NOW, LONG_WAIT) is early
 
 
 def test_connections_are_ordered_by_their_last_activity() -> None:
