Name the wait for capacity in the terms of the field, and derive an open body

Change: RoomWait is CapacityWait, the limit on pauses within a body is _BODY_IDLE_TIMEOUT_S; body_open is a property of the deadline, which SendGate uses too. Some comments are whole sentences now. Behaviour is unchanged.

--- a/sidecar_balancer/downstream/acceptor.py
+++ b/sidecar_balancer/downstream/acceptor.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from sidecar_balancer.addresses import Address
-from sidecar_balancer.downstream.connection_table import NO_WAIT, RoomWait
+from sidecar_balancer.downstream.connection_table import NO_WAIT, CapacityWait
 from sidecar_balancer.runtime.queueing import BacklogAge, PollTimes
 from sidecar_balancer.runtime.sockets import is_readable
 
@@ -16,7 +16,7 @@
 
 _LISTEN_BACKLOG = 512
 _MAX_ACCEPTS_PER_TURN = 64  # lets other sockets, such as the admin server's, be served in each turn
-_ACCEPT_PAUSE_S = 0.02  # avoids a busy loop while there is no room; input is read meanwhile
+_ACCEPT_PAUSE_S = 0.02  # avoids a busy loop at the limit, and lets input be read
 
 
 class AcceptHandler(Protocol):
@@ -28,11 +28,11 @@
     def is_opening(self) -> bool:
         """Return whether accepted connections are still being opened, so that their input is unread."""
 
-    def ensure_capacity(self, wait: RoomWait) -> bool:
+    def ensure_capacity(self, wait: CapacityWait) -> bool:
         """Make room for one more connection; return whether that succeeded.
 
         Args:
-            wait: For how long new connections have found no room.
+            wait: For how long new connections have waited for capacity.
         """
 
     def connection_accepted(self, sock: socket.socket, established_after: float) -> None:
@@ -64,7 +64,7 @@
         self._poll_times = poll_times
         self._handler = handler
         self._is_accepting = False
-        self._without_room_since: float | None = None  # set until no connection waits for room
+        self._full_since: float | None = None  # start of the wait for capacity; None: nobody waits
         self._last_accepted_at = 0.0
 
     def start(self) -> None:
@@ -94,7 +94,7 @@
         """Accept connections; return whether more may be waiting."""
         self._sock.setblocking(False)  # processes that share an inherited socket share this flag
         now, unread_since = asyncio.get_running_loop().time(), self._poll_times.unread_since
-        wait = self._room_wait(now)
+        wait = self._capacity_wait(now)
         for _ in range(_MAX_ACCEPTS_PER_TURN):
             if self._handler.is_full():
                 if not is_readable(self._sock):  # no connection is waiting
@@ -121,19 +121,19 @@
 
     def _record_emptied(self) -> None:
         self._backlog.record_emptied()
-        self._without_room_since = None
+        self._full_since = None
 
-    def _room_wait(self, now: float) -> RoomWait:
+    def _capacity_wait(self, now: float) -> CapacityWait:
         """Return for how long connections have waited; not at all while accepted ones are being opened."""
-        if self._without_room_since is None or self._handler.is_opening():
+        if self._full_since is None or self._handler.is_opening():
             return NO_WAIT
-        accepted_at = max(self._last_accepted_at, self._without_room_since)
-        return RoomWait(now - self._without_room_since, now - accepted_at)
+        accepted_at = max(self._last_accepted_at, self._full_since)
+        return CapacityWait(now - self._full_since, now - accepted_at)
 
     def _pause_for_resources(self, unread_since: float, now: float) -> None:
         self._backlog.record_remaining(unread_since, now)
-        if self._without_room_since is None:
-            self._without_room_since = now
+        if self._full_since is None:
+            self._full_since = now
         self.pause()
         asyncio.get_running_loop().call_later(_ACCEPT_PAUSE_S, self.start)
 
--- a/sidecar_balancer/downstream/client_connection.py
+++ b/sidecar_balancer/downstream/client_connection.py
@@ -119,7 +119,7 @@
         return self._deadline.awaited_since
 
     def eviction_class(self, now: float) -> EvictionClass:
-        """Return the state that decides whether it is closed at `now` to make room for another connection."""
+        """Return the state that decides whether it is closed at `now` for a new one."""
         if self._transport is None or self._transport.is_closing() or self._write_blocked:
             return EvictionClass.BUSY
         if self._linger_deadline is None and (self._has_complete_request() or self._reading_paused):
--- a/sidecar_balancer/downstream/connection_table.py
+++ b/sidecar_balancer/downstream/connection_table.py
@@ -1,4 +1,4 @@
-"""The client connections of a sidecar, and the choice of the one that is closed to make room for another."""
+"""The client connections of a sidecar, and the choice of the one that is evicted for a new one."""
 
 from __future__ import annotations
 
@@ -23,8 +23,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RoomWait:
-    """For how long new connections have found no room, in seconds.
+class CapacityWait:
+    """For how long new connections have waited for capacity, in seconds.
 
     Attributes:
         queued_s: The time since connections began to wait.
@@ -39,7 +39,7 @@
         return self.since_accept_s >= _MAX_WAIT_S or self.queued_s >= _MAX_QUEUE_S
 
 
-NO_WAIT = RoomWait()
+NO_WAIT = CapacityWait()
 
 
 class EvictableConnection(Protocol):
@@ -103,16 +103,16 @@
             self.remove(connection)
             self._connections[connection] = self._kept_alive[connection] = None
 
-    def select_victim(self, now: float, wait: RoomWait) -> ConnectionT | None:
+    def select_victim(self, now: float, wait: CapacityWait) -> ConnectionT | None:
         """Return the connection to evict, or None if all must stay for now.
 
         Args:
             now: The time on the event loop's clock.
-            wait: For how long new connections have found no room.
+            wait: For how long new connections have waited for capacity.
         """
         return _first_without_input(self._kept_alive) or self._select_incomplete(now, wait)
 
-    def _select_incomplete(self, now: float, wait: RoomWait) -> ConnectionT | None:
+    def _select_incomplete(self, now: float, wait: CapacityWait) -> ConnectionT | None:
         unused, receiving = list[ConnectionT](), list[ConnectionT]()
         for connection in self._connections:
             eviction_class = connection.eviction_class(now)
@@ -125,7 +125,7 @@
         return _first_without_input(unused) or _select_latest(receiving, now, wait)
 
 
-def _select_latest(receiving: list[ConnectionT], now: float, wait: RoomWait) -> ConnectionT | None:
+def _select_latest(receiving: list[ConnectionT], now: float, wait: CapacityWait) -> ConnectionT | None:
     """Return the connection whose request began last; an established one only after some time without room.
 
     Meanwhile requests end, clients stall, and the first input of new connections is read.
@@ -136,7 +136,7 @@
         receiving = [each for each in receiving if now - each.request_awaited_since < _ESTABLISHED_AFTER_S]
     receiving.sort(key=lambda connection: connection.request_awaited_since, reverse=True)
     if wait.since_accept_s < _MAX_READ_WAIT_S and receiving and receiving[0].has_unread_input():
-        return None  # its input is read first, rather than an earlier request given up
+        return None  # once that input is read, this request may be complete, and no earlier one is given up
     return _first_without_input(receiving)
 
 
--- a/sidecar_balancer/downstream/frontend.py
+++ b/sidecar_balancer/downstream/frontend.py
@@ -9,7 +9,7 @@
 from sidecar_balancer.addresses import Address
 from sidecar_balancer.downstream.acceptor import Acceptor
 from sidecar_balancer.downstream.client_connection import ClientConnection
-from sidecar_balancer.downstream.connection_table import NO_WAIT, ConnectionTable, RoomWait
+from sidecar_balancer.downstream.connection_table import NO_WAIT, CapacityWait, ConnectionTable
 from sidecar_balancer.downstream.request import RequestHandler
 from sidecar_balancer.policy.settings import Settings
 from sidecar_balancer.runtime.queueing import PollTimes
@@ -26,7 +26,7 @@
         address: The address that it listens on.
         body_memory: The memory that bodies are counted in.
         connections: The connections that are served, the least recently active first.
-        evictions: The number of connections that were closed to make room for others.
+        evictions: The number of connections that were evicted for new ones.
         draining: Whether each response is the last one of its connection.
         handler: The handler of the requests.
         poll_times: The times at which the event loop polled its sockets.
@@ -86,17 +86,17 @@
         """Return whether accepted connections are still being opened, so that their input is unread."""
         return bool(self._opening)
 
-    def ensure_capacity(self, wait: RoomWait) -> bool:
+    def ensure_capacity(self, wait: CapacityWait) -> bool:
         """Evict a connection on which no complete request waits for its response.
 
         Args:
-            wait: For how long new connections have found no room.
+            wait: For how long new connections have waited for capacity.
 
         Returns:
             Whether a connection was evicted.
         """
         if 2 * len(self._opening) >= self._max_connections:
-            wait = NO_WAIT  # as many have come at once that their input is read before requests are given up
+            wait = NO_WAIT  # the input of so many new connections is read before any request is given up
         connection = self.connections.select_victim(asyncio.get_running_loop().time(), wait)
         if connection is None:
             return False
--- a/sidecar_balancer/downstream/request_deadline.py
+++ b/sidecar_balancer/downstream/request_deadline.py
@@ -4,7 +4,7 @@
 
 REQUEST_TIMEOUT_S = 2.5  # time limit that starts at the first byte of a head; slow clients take 2 s
 _BODY_START_TIMEOUT_S = 0.9  # time limit from the head to the first byte of the body
-_BODY_SILENCE_TIMEOUT_S = 2.5  # time limit from one part of a body to the next, however much came before
+_BODY_IDLE_TIMEOUT_S = 2.5  # time limit from one part of a body to the next, however much came before
 _MIN_BODY_BYTES_PER_S = 32_000.0  # the slowest clients that must be served send twice as fast
 _HEAD_STALL_S = 0.5  # silence that is longer than the usual pause of a client that sends in pieces
 _BODY_STALL_S = 1.0  # the same within a body: time of 64 kB at the rate of the slowest clients
@@ -35,7 +35,7 @@
     def body_received(self, now: float, size: int) -> None:
         """Move the limit of the body on by the time that the slowest client may take for `size` bytes."""
         due_at = self.body_due_at + size / _MIN_BODY_BYTES_PER_S
-        self.body_due_at = min(due_at, now + _BODY_SILENCE_TIMEOUT_S)
+        self.body_due_at = min(due_at, now + _BODY_IDLE_TIMEOUT_S)
 
     def due_at(self, head_received: bool) -> float:
         """Return the deadline; that of a body moves on as long as the body arrives."""
@@ -44,5 +44,5 @@
 
     def is_stalled(self, now: float, head_received: bool) -> bool:
         """Return whether nothing has arrived for longer than a client that sends in pieces usually pauses."""
-        silence_s = now - max(self.last_input_at, self.awaited_since)
-        return silence_s > (_BODY_STALL_S if head_received else _HEAD_STALL_S)
+        idle_s = now - max(self.last_input_at, self.awaited_since)
+        return idle_s > (_BODY_STALL_S if head_received else _HEAD_STALL_S)
--- a/sidecar_balancer/policy/intake.py
+++ b/sidecar_balancer/policy/intake.py
@@ -72,7 +72,7 @@
         exponent = max(COST_EXPONENT_MIN, min(math.frexp(cost)[1], COST_EXPONENT_MAX))
         flow = Flow(service_class.name, event.tenant)
         request = Request(event.request, service_class, NO_DEADLINE, cost, flow, exponent)
-        request.is_streamed = request.body_open = event.body_open
+        request.is_streamed = event.body_open
         self._table.add(request)
         if not event.body_open:
             self._start_deadline(now, request, event.remaining_us)
@@ -86,7 +86,6 @@
         request = self._table.requests.get(event.request)
         if request is None or request.answered:
             return
-        request.body_open = False
         self._start_deadline(now, request, event.remaining_us)
         for attempt in request.attempts:
             if attempt.pending:
--- a/sidecar_balancer/policy/request.py
+++ b/sidecar_balancer/policy/request.py
@@ -46,9 +46,13 @@
     is_streamed: bool = (
         False  # the body is not buffered as a whole, so only one attempt at a time can send it
     )
-    body_open: bool = False  # the body is still arriving, so that no server can have received the last byte
     body_consumed: bool = False  # the body is no longer buffered as a whole and can't be sent again
 
+    @property
+    def body_open(self) -> bool:
+        """Whether the body is still arriving, so that no server can have received the last byte."""
+        return self.answer_deadline == NO_DEADLINE
+
     def has_pending_attempt(self) -> bool:
         """Return whether any attempt is pending."""
         return any(attempt.pending for attempt in self.attempts)
--- a/sidecar_balancer/policy/send_gate.py
+++ b/sidecar_balancer/policy/send_gate.py
@@ -8,7 +8,7 @@
 from sidecar_balancer.policy.latency import LatencyTracker
 from sidecar_balancer.policy.load import LoadTracker
 from sidecar_balancer.policy.outliers import OutlierDetector
-from sidecar_balancer.policy.request import NO_DEADLINE, Attempt, Request
+from sidecar_balancer.policy.request import Attempt, Request
 from sidecar_balancer.policy.settings import Limits
 from sidecar_balancer.policy.slow_start import SlowStart
 from sidecar_balancer.policy.stalls import StallDetector
@@ -58,7 +58,7 @@
         self._load.attempt_sent(server, attempt.awaits_body)
         if server.ejected_until is not None:
             attempt.is_trial = server.trial_pending = True
-        if request.answer_deadline != NO_DEADLINE:
+        if not request.body_open:
             overdue_at = now + self._latency.overdue_after_us(request, server)
             self._timers.schedule(overdue_at, TimerKind.ATTEMPT_OVERDUE, request.request_id, attempt.index)
         self._actions.append(SendAttempt(request.request_id, server.name, request.answer_deadline))
--- a/tests/downstream/test_connection_table.py
+++ b/tests/downstream/test_connection_table.py
@@ -1,4 +1,4 @@
-"""Which client connection is closed to make room for another."""
+"""The choice of the client connection that is evicted for a new one."""
 
 from __future__ import annotations
 
@@ -6,13 +6,13 @@
 
 from sidecar_balancer.downstream.connection_table import (
     NO_WAIT,
+    CapacityWait,
     ConnectionTable,
     EvictionClass,
-    RoomWait,
 )
 
 NOW = 100.0
-LONG_WAIT = RoomWait(1.0, 1.0)
+LONG_WAIT = CapacityWait(1.0, 1.0)
 
 
 @dataclass(eq=False)
@@ -77,13 +77,13 @@
     latest = FakeConnection(EvictionClass.RECEIVING, NOW - 0.01)
     table = table_of(early, latest, late)
     assert table.select_victim(NOW, NO_WAIT) is None
-    assert table.select_victim(NOW, RoomWait(0.02, 0.02)) is latest
+    assert table.select_victim(NOW, CapacityWait(0.02, 0.02)) is latest
     table.remove(latest)
     table.remove(late)
-    assert table.select_victim(NOW, RoomWait(0.02, 0.02)) is None
-    assert table.select_victim(NOW, RoomWait(0.2, 0.02)) is None
-    assert table.select_victim(NOW, RoomWait(0.1, 0.1)) is early
-    assert table.select_victim(NOW, RoomWait(0.3, 0.02)) is early
+    assert table.select_victim(NOW, CapacityWait(0.02, 0.02)) is None
+    assert table.select_victim(NOW, CapacityWait(0.2, 0.02)) is None
+    assert table.select_victim(NOW, CapacityWait(0.1, 0.1)) is early
+    assert table.select_victim(NOW, CapacityWait(0.3, 0.02)) is early
 
 
 # Guards against a slow client that is evicted while a later crowd has just sent more.
@@ -91,7 +91,7 @@
     early = FakeConnection(EvictionClass.RECEIVING, NOW - 2.0)
     late = FakeConnection(EvictionClass.RECEIVING, NOW - 1.0, unread=True)
     table = table_of(early, late)
-    assert table.select_victim(NOW, RoomWait(0.15, 0.15)) is None
+    assert table.select_victim(NOW, CapacityWait(0.15, 0.15)) is None
     assert table.select_victim(NOW, LONG_WAIT) is early
 
 
@@ -102,7 +102,7 @@
     table.record_kept_alive(second)
     assert list(table) == [third, first, second]
     table.remove(second)
-    table.record_input(second)  # its input crossed its eviction
+    table.record_input(second)  # the last input of an evicted connection
     assert list(table) == [third, first]
     assert len(table) == 2
     assert first in table
--- a/tests/downstream/test_stopped_clients_soak.py
+++ b/tests/downstream/test_stopped_clients_soak.py
@@ -20,7 +20,7 @@
 SEEDS = int(os.environ.get("STOPPED_CLIENTS_SOAK_SEEDS", "6"))
 MAX_CONNECTIONS = (16, 32, 96)  # 96 for the fewest descriptors that the platform grants
 CROWDS = 8
-LARGEST_CROWD = 4  # in multiples of the number of connections
+LARGEST_CROWD = 4  # size as a multiple of the number of connections
 CROWD_STALLED_AFTER_S = 0.6
 SLOW_BEFORE_CROWD_S = 0.15  # a slow client that comes together with a crowd can't be told from it
 LONGEST_CALM_S = 0.5
