End the search for a connection to evict at the first unused one

Change: connections are in the order of their last activity, so that behind one that has sent nothing and is not stalled no other can be stalled: the search ends there. The choice is the same.

--- a/sidecar_balancer/downstream/connection_table.py
+++ b/sidecar_balancer/downstream/connection_table.py
@@ -113,16 +113,15 @@
         return _first_without_input(self._kept_alive) or self._select_incomplete(now, wait)
 
     def _select_incomplete(self, now: float, wait: CapacityWait) -> ConnectionT | None:
-        unused, receiving = list[ConnectionT](), list[ConnectionT]()
+        """Return the first stalled or unused connection; behind an unused one, no other can be stalled."""
+        receiving: list[ConnectionT] = []
         for connection in self._connections:
             eviction_class = connection.eviction_class(now)
-            if eviction_class is EvictionClass.STALLED and not connection.has_unread_input():
-                return connection
-            if eviction_class is EvictionClass.UNUSED:
-                unused.append(connection)
-            elif eviction_class is EvictionClass.RECEIVING:
+            if eviction_class is EvictionClass.RECEIVING:
                 receiving.append(connection)
-        return _first_without_input(unused) or _select_latest(receiving, now, wait)
+            elif eviction_class is not EvictionClass.BUSY and not connection.has_unread_input():
+                return connection
+        return _select_latest(receiving, now, wait)
 
 
 def _select_latest(receiving: list[ConnectionT], now: float, wait: CapacityWait) -> ConnectionT | None:
