--- a/sidecar_balancer/cli.py
+++ b/sidecar_balancer/cli.py
@@ -21,6 +21,7 @@
 
 from sidecar_balancer.admin.client import CALLS, AdminCall, AdminCallError
 from sidecar_balancer.admin.tables import format_response
+from sidecar_balancer.startup import omit_tls
 
 EXIT_OK = 0
 EXIT_CALL_FAILED = 1
@@ -34,6 +35,7 @@
     arguments = _parser().parse_args(argv)
     match arguments.command:
         case "run":
+            omit_tls()
             from sidecar_balancer import program as sidecar_program  # the other commands don't need it
 
             return sidecar_program.main()
--- a/sidecar_balancer/discovery/sources.py
+++ b/sidecar_balancer/discovery/sources.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import math
 import random
 from collections.abc import Callable, Sequence
@@ -30,6 +29,7 @@
 
 def rank_relays(relays: Sequence[RelayAddress], identity: str, zone: str) -> list[Address]:
     """Rank relays for one sidecar: those of its own zone first, each group by rendezvous hashing."""
+    import hashlib  # loads OpenSSL, 4 MB that a sidecar without relays need not hold
 
     def rank(relay: RelayAddress) -> tuple[bool, bytes]:
         key = "{}|{}:{}".format(identity, *relay.address)
--- a/sidecar_balancer/observability/logs.py
+++ b/sidecar_balancer/observability/logs.py
@@ -7,12 +7,12 @@
 
 from __future__ import annotations
 
+import json
 import logging
 import sys
 from collections import Counter
-from collections.abc import MutableMapping
 from dataclasses import dataclass
-from typing import Any
+from datetime import UTC, datetime
 
 LEVELS = ("debug", "info", "warning", "error")
 FORMATS = ("json", "plain")
@@ -74,7 +74,7 @@
     is_plain = config.format == "plain" or (not config.format and sys.stderr.isatty())
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(
-        _PlainFormatter("%(asctime)s %(name)s %(message)s") if is_plain else _json_formatter()
+        _PlainFormatter("%(asctime)s %(name)s %(message)s") if is_plain else _JsonFormatter()
     )
     limiter = LogRateLimiter(config.lines_per_s, config.repeats_per_s)
     handler.addFilter(limiter)
@@ -88,31 +88,17 @@
         return super().format(record) + (f" (similar lines suppressed: {suppressed})" if suppressed else "")
 
 
-def _json_formatter() -> logging.Formatter:
-    import structlog  # costs a dozen ms of CPU, so imported only for the JSON format
-
-    processors: list[Any] = [
-        structlog.stdlib.add_log_level,
-        structlog.processors.TimeStamper(fmt="iso", utc=True, key="ts"),
-        structlog.stdlib.ExtraAdder(allow=_FIELDS),
-    ]
-    return structlog.stdlib.ProcessorFormatter(
-        foreign_pre_chain=processors,
-        processors=[structlog.processors.format_exc_info, _order_fields, structlog.processors.JSONRenderer()],
-    )
-
-
-def _order_fields(_logger: Any, _method: str, event_dict: MutableMapping[str, Any]) -> dict[str, Any]:
-    """Return the fields of a line in the order of output; structlog holds the text as `event`."""
-    record = event_dict["_record"]
-    fields = {
-        "ts": event_dict["ts"],
-        "level": event_dict["level"],
-        "event": event_of(record),
-        "subsystem": record.name.removeprefix(_PACKAGE_PREFIX),
-        "msg": event_dict["event"],
-    }
-    fields |= {name: event_dict[name] for name in _FIELDS if name in event_dict}
-    if "exception" in event_dict:
-        fields["exception"] = event_dict["exception"]
-    return fields
+class _JsonFormatter(logging.Formatter):
+    def format(self, record: logging.LogRecord) -> str:
+        """Return a JSON object with the fields of a line in the order of output."""
+        fields = {
+            "ts": datetime.fromtimestamp(record.created, UTC).isoformat().replace("+00:00", "Z"),
+            "level": record.levelname.lower(),
+            "event": event_of(record),
+            "subsystem": record.name.removeprefix(_PACKAGE_PREFIX),
+            "msg": record.getMessage(),
+        }
+        fields |= {name: getattr(record, name) for name in _FIELDS if hasattr(record, name)}
+        if record.exc_info:
+            fields["exception"] = self.formatException(record.exc_info)
+        return json.dumps(fields, default=repr)
--- a/sidecar_balancer/program.py
+++ b/sidecar_balancer/program.py
@@ -74,6 +74,8 @@
         module.log.addFilter(client_log_limiter)
     gc.freeze()  # objects loaded so far stay, so garbage collections can skip them
     gc.enable()
+    gc.set_threshold(400, 5, 2)
+    gc.set_threshold(700, 10, 10)
     try:
         with asyncio.Runner(loop_factory=TimedLoop) as runner:
             runner.run(serve(config, limiter))
