--- a/sidecar_balancer/downstream/acceptor.py
+++ b/sidecar_balancer/downstream/acceptor.py
@@ -15,7 +15,7 @@
 log = logging.getLogger(__name__)
 
 _LISTEN_BACKLOG = 512
-_MAX_ACCEPTS_PER_TURN = 64  # lets other sockets, such as the admin server's, be served in each turn
+_MAX_ACCEPTS_PER_TURN = 16  # lets other sockets, such as the admin server's, be served in each turn
 _ACCEPT_PAUSE_S = 0.02  # avoids a busy loop at the limit, and lets input be read
 
 
@@ -28,6 +28,9 @@
     def is_opening(self) -> bool:
         """Return whether accepted connections are still being opened, so that their input is unread."""
 
+    def accepting_starts(self) -> None:
+        """Prepare for the connections of one turn of the event loop."""
+
     def ensure_capacity(self, wait: CapacityWait) -> bool:
         """Make room for one more connection; return whether that succeeded.
 
@@ -95,6 +98,7 @@
         self._sock.setblocking(False)  # processes that share an inherited socket share this flag
         now, unread_since = asyncio.get_running_loop().time(), self._poll_times.unread_since
         wait = self._capacity_wait(now)
+        self._handler.accepting_starts()
         for _ in range(_MAX_ACCEPTS_PER_TURN):
             if self._handler.is_full():
                 if not is_readable(self._sock):  # no connection is waiting
--- a/sidecar_balancer/downstream/arrival.py
+++ b/sidecar_balancer/downstream/arrival.py
@@ -8,7 +8,7 @@
 from sidecar_balancer.runtime.queueing import PollTimes, since_last_data_s
 
 _MIN_QUEUE_DELAY_S = 0.01  # shorter delays are not subtracted from the remaining time of a request
-_MIN_RECEIVE_WINDOW_BYTES = 32 * 1024  # a client can send at least this much that is not read
+MIN_RECEIVE_WINDOW_BYTES = 32 * 1024  # a client can send at least this much that is not read
 _WINDOW_UPDATE_S = 0.25  # a client whose data did not fit into the receive window may retry only after 0.2 s
 
 
@@ -60,12 +60,12 @@
 
     def _data_age_s(self) -> float | None:
         """Return the age of the last data, unless the client may have had to wait with it."""
-        return since_last_data_s(self._sock) if self._unread_bytes < _MIN_RECEIVE_WINDOW_BYTES else None
+        return since_last_data_s(self._sock) if self._unread_bytes < MIN_RECEIVE_WINDOW_BYTES else None
 
     def input_drained(self, now: float) -> None:
         """Record that the kernel has no unread input, which the client may still be about to transmit."""
         limited_until = self._limited_until if self._paused_at is None else self._paused_at
-        if self._unread_bytes < _MIN_RECEIVE_WINDOW_BYTES or now - limited_until >= _WINDOW_UPDATE_S:
+        if self._unread_bytes < MIN_RECEIVE_WINDOW_BYTES or now - limited_until >= _WINDOW_UPDATE_S:
             self.unread_since = None if self._paused_at is None else now
             self._unread_bytes = 0
 
--- a/sidecar_balancer/downstream/client_connection.py
+++ b/sidecar_balancer/downstream/client_connection.py
@@ -24,12 +24,12 @@
 from sidecar_balancer.downstream.response_connection import ConnectionContext
 from sidecar_balancer.downstream.upload_connection import UploadConnection
 from sidecar_balancer.runtime.errors import RequestError
-from sidecar_balancer.runtime.headers import content_length
-from sidecar_balancer.runtime.sockets import has_no_unread_input
-from sidecar_balancer.runtime.streams import (
-    MAX_BUFFERED_BODY_BYTES,
-    MAX_REQUEST_BODY_BYTES,
-)
+from sidecar_balancer.runtime.head_buffer import MAX_CHUNKS_PIECE_BYTES, MAX_HEAD_BYTES, HeadTooLargeError
+from sidecar_balancer.runtime.headers import content_length, is_chunked
+from sidecar_balancer.runtime.memory_budget import MAX_BUFFERED_BODY_BYTES, head_bytes
+from sidecar_balancer.runtime.queueing import running_client_events
+from sidecar_balancer.runtime.sockets import has_no_unread_input, peek
+from sidecar_balancer.runtime.streams import MAX_REQUEST_BODY_BYTES
 
 log = logging.getLogger(__name__)
 
@@ -61,7 +61,8 @@
         super().__init__(owner, sock, established_after)
         self._owner: ConnectionOwner = owner
         self._port = 0
-        self._discarded_bytes = 0
+        self._file_descriptor = sock.fileno()
+        self._client_events = running_client_events()
 
     # -- The connection
 
@@ -71,18 +72,22 @@
         self._transport = transport
         self._port = int((transport.get_extra_info("peername") or ("", 0))[1])
         transport.set_write_buffer_limits(high=0)
+        self._update_charge()
+        self._client_events.file_descriptors.add(self._file_descriptor)
         self._owner.connection_opened(self)
         self._start_request_timer()
 
     def connection_lost(self, _exc: Exception | None) -> None:
         """Release everything that the connection holds."""
+        self._client_events.file_descriptors.discard(self._file_descriptor)
         self._owner.connection_closed(self)
         self._stop_timer()
         if self._client_check_timer is not None:
             self._client_check_timer.cancel()
-        self._record_unsent(0)
         self._release_body()
         self._client_disconnected()
+        self._input.clear()
+        self._update_charge()
 
     def eof_received(self) -> bool:
         """Let the transport close: a client that ends its sending side counts as disconnected."""
@@ -111,7 +116,7 @@
         return EvictionClass.IDLE
 
     def _is_partly_received(self) -> bool:
-        return self._head is not None or bool(self._h11.trailing_data[0])
+        return self._head is not None or bool(self._input)
 
     def _has_complete_request(self) -> bool:
         """Return whether a response is due or has begun, or the input after the last one is unparsed."""
@@ -120,7 +125,11 @@
         return self._request is not None and self._upload is None
 
     def has_unread_input(self) -> bool:
-        """Return whether the kernel holds input that was not read yet."""
+        """Return whether the kernel holds input that may complete a request; part of a head does not."""
+        if self._linger_deadline is not None:
+            return False
+        if self._head is None and self._input:
+            return self._input.may_have_head_with(peek(self._sock, MAX_HEAD_BYTES))
         return not has_no_unread_input(self._sock)
 
     def evict(self) -> None:
@@ -166,32 +175,22 @@
     # -- Reading a request
 
     def data_received(self, data: bytes) -> None:
-        """Parse input, or discard it where no further request is read."""
+        """Parse input, or keep it until the request in flight is answered."""
         if self._linger_deadline is not None:
             self._extend_linger()
             return
-        if self._discards_input:
-            self._discard_input(data)
-            return
         self._owner.input_received(self)
         self._deadline.last_input_at = now = asyncio.get_running_loop().time()
         is_drained = not self._read_was_full or has_no_unread_input(self._sock)
         self._arrival.input_received(now, len(data), is_drained)
-        try:
-            self._h11.receive_data(data)
-        except h11.RemoteProtocolError as error:
-            self._reject(RequestError(400, str(error)))
-            return
-        if self._upload is not None or (self._request is None and not self._write_blocked):
+        self._input.append(data)
+        if self._may_parse():
             self._parse()
-        elif len(self._h11.trailing_data[0]) > MAX_BUFFERED_BODY_BYTES:
-            self._discards_input = True
+        self._update_reading()
 
-    def _discard_input(self, data: bytes) -> None:
-        """Discard input that was sent too far ahead, up to a limit."""
-        self._discarded_bytes += len(data)
-        if self._discarded_bytes > MAX_REQUEST_BODY_BYTES:
-            self.abort()
+    def _may_parse(self) -> bool:
+        """Return whether the input belongs to the request that is being received."""
+        return self._upload is not None or (self._request is None and not self._write_blocked)
 
     def _parse(self) -> None:
         """Parse up to the end of one request."""
@@ -199,7 +198,7 @@
             return
         try:
             self._handle_events()
-            if self._request is None and (self._head is not None or self._h11.trailing_data[0]):
+            if self._request is None and self._is_partly_received():
                 self._start_request_timer()
         except RequestError as error:
             self._reject(error)
@@ -215,15 +214,18 @@
         self._update_reading()
         if self._transport is None or self._transport.is_closing() or self._linger_deadline is not None:
             return
-        if self._upload is not None or (self._request is None and not self._write_blocked):
+        if self._may_parse():
             self._parse()
 
     def _handle_next_event(self) -> bool:
         if self._linger_deadline is not None or self._transport is None or self._transport.is_closing():
             return False
         event = self._h11.next_event()
+        if event is h11.NEED_DATA:
+            return self._feed_parser()
         if isinstance(event, h11.Request):
             self._head = event
+            self._head_bytes = head_bytes(event)
             self._begin_request(event)
         elif isinstance(event, h11.Data):
             self._receive_body(event.data)
@@ -232,6 +234,19 @@
             return False
         return isinstance(event, h11.Request | h11.Data)
 
+    def _feed_parser(self) -> bool:
+        """Pass the next part of the input to the parser; return whether there was any."""
+        if self._head is not None:
+            data = self._input.take_piece(is_chunked(self._head.headers))
+        else:
+            try:
+                data = self._input.take_head()
+            except HeadTooLargeError as error:
+                raise RequestError(400, str(error)) from None
+        if data:
+            self._h11.receive_data(data)
+        return bool(data)
+
     def _begin_request(self, head: h11.Request) -> None:
         check_framing(head)
         self._deadline.restart_body(asyncio.get_running_loop().time())
@@ -249,8 +264,9 @@
         if self._upload is not None:
             self._receive_upload(self._upload, data)
             return
-        self._buffer_body(data)
-        if not self.body_memory.may_buffer(len(self._body)) and self._head is not None:
+        self._body += data
+        self._update_charge()
+        if not self.memory_budget.may_buffer(len(self._body)) and self._head is not None:
             self._begin_upload(self._head, content_length(self._head.headers))
 
     def _parse_request(self, head: h11.Request, body: bytes) -> ClientRequest:
@@ -261,15 +277,33 @@
         assert head is not None
         self._stop_timer()
         self.has_served = True
+        self._take_back_rest()
         if self._upload is not None:
             self._complete_upload()
         elif head.target.partition(b"?")[0] == _READINESS_PATH:
             self.respond(503 if self._owner.draining else 200, [], b"")
         else:
-            self._request = client_request = self._parse_request(head, bytes(self._body))
+            client_request = self._parse_request(head, bytes(self._body))
+            self._release_body()
+            self._check_admission()
+            self._request = client_request
             client_request.remaining_us = self._arrival.subtract_delay(client_request.remaining_us)
             self._owner.handler.request_received(client_request)
 
+    def _take_back_rest(self) -> None:
+        """Take what follows the request out of the parser, so that its size is known."""
+        rest, _ = self._h11.trailing_data
+        if rest:
+            self._input.prepend(rest)
+            self._parser_has_rest = True
+
+    def _check_admission(self) -> None:
+        """Check that a request may be taken on; raises RequestError."""
+        if self.memory_budget.is_exhausted():
+            raise RequestError(503, "the memory for requests is used up")
+        if self._client_may_have_left():
+            raise RequestError(503, "more is sent ahead than can be read")
+
     def _reject(self, error: RequestError) -> None:
         extra = {"event": "request_invalid", "status": error.status}
         log.info("request from port %d rejected: %.120s", self._port, error, extra=extra)
@@ -289,17 +323,21 @@
         if self._request is not None or self._write_blocked:
             return
         if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
-            self._h11.start_next_cycle()
+            self._renew_parser()
             self._update_reading()
-            if trailing_input := self._h11.trailing_data[0]:
+            if self._input:
                 self._owner.input_received(self)
-                log.info(
-                    "port %d sent %d bytes after its request: %.60r",
-                    self._port,
-                    len(trailing_input),
-                    trailing_input,
-                    extra={"event": "input_behind_request"},
-                )
+                extra = {"event": "input_behind_request"}
+                log.info("port %d sent %d bytes after its request", self._port, len(self._input), extra=extra)
                 self._parse()
+                self._update_reading()
             else:
                 self._owner.connection_idle(self)
+
+    def _renew_parser(self) -> None:
+        """Let the parser expect the next request."""
+        if self._parser_has_rest:
+            self._parser_has_rest = False
+            self._h11 = h11.Connection(h11.SERVER, MAX_CHUNKS_PIECE_BYTES)
+        else:
+            self._h11.start_next_cycle()
--- a/sidecar_balancer/downstream/client_transport.py
+++ b/sidecar_balancer/downstream/client_transport.py
@@ -6,7 +6,9 @@
 import contextlib
 import socket
 
-from sidecar_balancer.runtime.streams import STALL_TIMEOUT_S, BodyMemory, BufferedReceiver
+from sidecar_balancer.runtime.memory_budget import MemoryBudget
+from sidecar_balancer.runtime.sockets import unacknowledged_bytes
+from sidecar_balancer.runtime.streams import STALL_TIMEOUT_S, BufferedReceiver
 
 _LINGER_S = 1.0  # duration of lingering after the last byte read
 _MAX_LINGER_S = 30.0  # limit on lingering in total, as a long body may still be arriving
@@ -19,12 +21,12 @@
     So where input may follow, the connection lingers: it ends only its sending side and discards input.
     """
 
-    def __init__(self, sock: socket.socket, body_memory: BodyMemory) -> None:
+    def __init__(self, sock: socket.socket, memory_budget: MemoryBudget) -> None:
         """Serve an accepted socket."""
-        super().__init__(body_memory)
+        super().__init__(memory_budget)
         self._sock = sock
         self._timer: asyncio.TimerHandle | None = None  # timer of the one time limit that applies now
-        self._unsent_bytes = 0  # unsent bytes of the last response, at the last check
+        self._unread_bytes = 0  # bytes that the client had not read at the last check
         self._linger_deadline: float | None = None  # None unless the connection lingers
 
     def close(self) -> None:
@@ -52,16 +54,18 @@
         """Disconnect a client that reads nothing, but not one that reads slowly."""
         if self._transport is None:
             return
-        unsent_bytes = self._transport.get_write_buffer_size()
-        if unsent_bytes >= self._unsent_bytes:
+        unread_bytes = self._unread_output()
+        if unread_bytes >= self._unread_bytes:
             self.abort()
             return
-        self._record_unsent(unsent_bytes)
+        self._unread_bytes = unread_bytes
         self._timer = asyncio.get_running_loop().call_later(STALL_TIMEOUT_S, self._check_write_progress)
 
-    def _record_unsent(self, size: int) -> None:
-        self.body_memory.buffered_bytes += size - self._unsent_bytes
-        self._unsent_bytes = size
+    def _unread_output(self) -> int:
+        """Return how much written data the client has not read, of which the kernel holds a part."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size() + unacknowledged_bytes(self._sock)
 
     # -- Lingering
 
@@ -70,9 +74,11 @@
         if self._transport is not None and not self._transport.is_closing():
             loop = asyncio.get_running_loop()
             self._linger_deadline = loop.time() + _MAX_LINGER_S
+            self._input.clear()
             self._transport.resume_reading()
             with contextlib.suppress(OSError):  # the client has already closed
                 self._transport.write_eof()
+            self._update_charge()
             self._extend_linger()
 
     def _extend_linger(self) -> None:
--- a/sidecar_balancer/downstream/connection_table.py
+++ b/sidecar_balancer/downstream/connection_table.py
@@ -109,34 +109,42 @@
             now: The time on the event loop's clock.
             wait: For how long new connections have waited for capacity.
         """
-        return _first_without_input(self._kept_alive) or self._select_incomplete(now, wait)
+        return next(self.victims(now, wait), None)
 
-    def _select_incomplete(self, now: float, wait: CapacityWait) -> ConnectionT | None:
-        """Return the first idle connection, which has been so for longest, or else the latest request's."""
+    def victims(self, now: float, wait: CapacityWait) -> Iterator[ConnectionT]:
+        """Yield the connections to evict in this turn of the event loop, in their order.
+
+        Idle ones come first, which have been so for longest, and then the latest requests.
+
+        Args:
+            now: The time on the event loop's clock.
+            wait: For how long new connections have waited for capacity.
+        """
+        yield from _without_input(list(self._kept_alive))
         receiving: list[ConnectionT] = []
-        for connection in self._connections:
+        for connection in list(self._connections):
             eviction_class = connection.eviction_class(now)
             if eviction_class is EvictionClass.RECEIVING:
                 receiving.append(connection)
             elif eviction_class is EvictionClass.IDLE and not connection.has_unread_input():
-                return connection
-        return _select_latest(receiving, now, wait)
+                yield connection
+        yield from _latest(receiving, now, wait)
 
 
-def _select_latest(receiving: list[ConnectionT], now: float, wait: CapacityWait) -> ConnectionT | None:
-    """Return the connection whose request began last; an established one only after some time without room.
+def _latest(receiving: list[ConnectionT], now: float, wait: CapacityWait) -> Iterator[ConnectionT]:
+    """Yield the connections whose requests began last; established ones only after some time without room.
 
     Meanwhile requests end, clients stall, and the first input of new connections is read.
     """
     if wait == NO_WAIT:
-        return None
+        return
     if not wait.is_over():
         receiving = [each for each in receiving if now - each.request_awaited_since < _ESTABLISHED_AFTER_S]
     receiving.sort(key=lambda connection: connection.request_awaited_since, reverse=True)
     if wait.since_accept_s < _MAX_READ_WAIT_S and receiving and receiving[0].has_unread_input():
-        return None  # once that input is read, this request may be complete, and no earlier one is given up
-    return _first_without_input(receiving)
+        return  # once that input is read, this request may be complete, and no earlier one is given up
+    yield from _without_input(receiving)
 
 
-def _first_without_input(connections: Iterable[ConnectionT]) -> ConnectionT | None:
-    return next((each for each in connections if not each.has_unread_input()), None)
+def _without_input(connections: Iterable[ConnectionT]) -> Iterator[ConnectionT]:
+    return (each for each in connections if not each.has_unread_input())
--- a/sidecar_balancer/downstream/frontend.py
+++ b/sidecar_balancer/downstream/frontend.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 import socket
+from collections.abc import Iterator
 
 from sidecar_balancer.addresses import Address
 from sidecar_balancer.downstream.acceptor import Acceptor
@@ -12,8 +13,9 @@
 from sidecar_balancer.downstream.connection_table import NO_WAIT, CapacityWait, ConnectionTable
 from sidecar_balancer.downstream.request import RequestHandler
 from sidecar_balancer.policy.settings import Settings
+from sidecar_balancer.runtime.memory_budget import MemoryBudget
 from sidecar_balancer.runtime.queueing import PollTimes
-from sidecar_balancer.runtime.streams import BodyMemory
+from sidecar_balancer.runtime.sockets import bound_send_buffer
 
 _IDLE_CLOSE_INTERVAL_S = 0.02  # interval between a drain's checks for idle connections
 _FLUSH_POLL_S = 0.005  # interval between the shutdown's checks whether the last responses have been sent
@@ -24,7 +26,7 @@
 
     Attributes:
         address: The address that it listens on.
-        body_memory: The memory that bodies are counted in.
+        memory_budget: The memory that bodies are counted in.
         connections: The connections that are served, the least recently active first.
         evictions: The number of connections that were evicted for new ones.
         draining: Whether each response is the last one of its connection.
@@ -40,7 +42,7 @@
         handler: RequestHandler,
         settings: Settings,
         listen_fd: int | None = None,
-        body_memory: BodyMemory | None = None,
+        memory_budget: MemoryBudget | None = None,
         poll_times: PollTimes | None = None,
     ) -> None:
         """Listen without accepting yet.
@@ -51,14 +53,14 @@
             handler: The handler of the requests.
             settings: The service classes and tenants.
             listen_fd: The descriptor of an inherited listening socket.
-            body_memory: The memory that bodies are counted in.
+            memory_budget: The memory that bodies are counted in.
             poll_times: The times at which the event loop polled its sockets; without them, input never counts
                 as delayed.
 
         Raises:
             OSError: If it can't listen on the address or the descriptor.
         """
-        self.body_memory = body_memory or BodyMemory()
+        self.memory_budget = memory_budget or MemoryBudget()
         self.connections: ConnectionTable[ClientConnection] = ConnectionTable()
         self.draining = False
         self.evictions = 0
@@ -66,6 +68,8 @@
         self.poll_times = poll_times or PollTimes(math.inf)
         self.settings = settings
         self._max_connections = max_connections
+        self._victims: Iterator[ClientConnection] = iter(())
+        self._victims_wait: CapacityWait | None = None  # the wait that they were chosen for
         self._open_tasks: set[asyncio.Task[None]] = set()
         self._opening: set[ClientConnection] = set()  # accepted but not yet in `connections`
         self._idle_close_timer: asyncio.TimerHandle | None = None
@@ -86,6 +90,10 @@
         """Return whether accepted connections are still being opened, so that their input is unread."""
         return bool(self._opening)
 
+    def accepting_starts(self) -> None:
+        """Choose anew which connections are evicted in this turn of the event loop."""
+        self._victims_wait = None
+
     def ensure_capacity(self, wait: CapacityWait) -> bool:
         """Evict a connection on which no complete request waits for its response.
 
@@ -97,7 +105,10 @@
         """
         if 2 * len(self._opening) >= self._max_connections:
             wait = NO_WAIT  # the input of so many new connections is read before any request is given up
-        connection = self.connections.select_victim(asyncio.get_running_loop().time(), wait)
+        if wait is not self._victims_wait:
+            self._victims_wait = wait
+            self._victims = self.connections.victims(asyncio.get_running_loop().time(), wait)
+        connection = next((each for each in self._victims if each in self.connections), None)
         if connection is None:
             return False
         self.evictions += 1
@@ -109,6 +120,7 @@
         """Serve a connection that was established after this time on the event loop's clock."""
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        bound_send_buffer(sock)
         connection = ClientConnection(self, sock, established_after)
         self._opening.add(connection)
         task = asyncio.get_running_loop().create_task(self._open_connection(sock, connection))
--- a/sidecar_balancer/downstream/response_connection.py
+++ b/sidecar_balancer/downstream/response_connection.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import contextlib
 import logging
 import socket
@@ -14,9 +13,12 @@
 from sidecar_balancer.downstream.client_transport import ClientTransport
 from sidecar_balancer.downstream.request import ClientRequest, RequestHandler
 from sidecar_balancer.policy.settings import Settings
+from sidecar_balancer.runtime.head_buffer import MAX_CHUNKS_PIECE_BYTES
 from sidecar_balancer.runtime.headers import Headers
+from sidecar_balancer.runtime.memory_budget import MemoryBudget
 from sidecar_balancer.runtime.queueing import PollTimes
-from sidecar_balancer.runtime.streams import BodyMemory, ResponseSink, ResponseSource, Upload
+from sidecar_balancer.runtime.streams import ResponseSink, ResponseSource, Upload
+from sidecar_balancer.runtime.turns import running_turn_queue
 
 log = logging.getLogger(__name__)
 
@@ -27,6 +29,7 @@
     404: b"Not Found",
     405: b"Method Not Allowed",
     408: b"Request Timeout",
+    409: b"Conflict",
 }
 
 
@@ -34,14 +37,14 @@
     """The context that all client connections share.
 
     Attributes:
-        body_memory: The memory that bodies are counted in.
+        memory_budget: The memory that bodies are counted in.
         draining: Whether each response is the last one of its connection.
         handler: The handler of the requests.
         poll_times: The times at which the event loop polled its sockets.
         settings: The service classes and tenants.
     """
 
-    body_memory: BodyMemory
+    memory_budget: MemoryBudget
     draining: bool
     handler: RequestHandler
     poll_times: PollTimes
@@ -53,15 +56,15 @@
 
     def __init__(self, sock: socket.socket, owner: ConnectionContext) -> None:
         """Serve an accepted socket."""
-        super().__init__(sock, owner.body_memory)
+        super().__init__(sock, owner.memory_budget)
         self._owner = owner
-        self._h11 = h11.Connection(h11.SERVER)
+        self._h11 = h11.Connection(h11.SERVER, MAX_CHUNKS_PIECE_BYTES)
         self._head: h11.Request | None = None  # set from the head of a request to the end of its response
         self._request: ClientRequest | None = None  # the request that waits for a response
         self._upload: Upload | None = None  # set while a streamed body is being received
         self._source: ResponseSource | None = None  # set while a response is streamed
         self._write_blocked = False  # not all written data has gone to the kernel yet
-        self._discards_input = False  # the client sent too far ahead: only its disconnect matters
+        self._parser_has_rest = False  # the parser holds input behind the request
 
     def is_idle(self) -> bool:
         """Return whether it may be closed: no request is in flight, partly received or still unread."""
@@ -96,19 +99,24 @@
         self._response_written()
 
     def _response_head(self, status: int, headers: Headers) -> h11.Response:
-        if self._owner.draining or not self._request_was_read():
+        is_last = (
+            self._owner.draining and not self._input.has_head()
+        )  # what was read behind it is answered as well
+        if is_last or not self._request_was_read():
             headers.append((b"Connection", b"close"))
         return h11.Response(status_code=status, headers=headers, reason=_REASON_PHRASES.get(status, b""))
 
     def _request_was_read(self) -> bool:
         """Return whether the request was read to its end, even if the connection is about to close."""
-        return not self._discards_input and self._h11.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+        return self._h11.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 
     def _response_written(self) -> None:
         """Continue with the next request, or close the connection."""
         self._head = None
+        self._head_bytes = 0
         self._release_body()
         self._end_upload()
+        self._update_charge()
         if not self._request_was_read():
             self._linger()
         elif self._h11.our_state is not h11.DONE:
@@ -117,7 +125,7 @@
             else:
                 self.close_gracefully()
         elif not self._write_blocked:
-            asyncio.get_running_loop().call_soon(self._next_request)
+            running_turn_queue().call_soon(self._next_request)
 
     def begin_streaming(
         self, headers: Headers, length: int | None, source: ResponseSource
@@ -136,7 +144,8 @@
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(self._h11.send(h11.Data(data=data)) or b"")
             if self._write_blocked:  # data that was sent before the source paused is no lack of progress
-                self._record_unsent(self._transport.get_write_buffer_size())
+                self._unread_bytes = self._unread_output()
+            self._update_charge()
 
     def end_response(self) -> None:
         """End a streamed response that is complete."""
@@ -160,7 +169,7 @@
         """Pause the source of the response and watch whether the client reads."""
         self._write_blocked = True
         if self._transport is not None:
-            self._record_unsent(self._transport.get_write_buffer_size())
+            self._unread_bytes = self._unread_output()
             if self._source is not None:
                 self._source.pause()
             if self._upload is None:
@@ -169,7 +178,8 @@
     def resume_writing(self) -> None:
         """Continue after all written data has gone to the kernel."""
         self._write_blocked = False
-        self._record_unsent(0)
+        self._unread_bytes = 0
+        self._update_charge()
         if self._upload is None:
             self._stop_timer()
         if self._source is not None:
--- a/sidecar_balancer/downstream/upload_connection.py
+++ b/sidecar_balancer/downstream/upload_connection.py
@@ -7,15 +7,17 @@
 
 import h11
 
-from sidecar_balancer.downstream.arrival import ArrivalEstimate
+from sidecar_balancer.downstream.arrival import MIN_RECEIVE_WINDOW_BYTES, ArrivalEstimate
 from sidecar_balancer.downstream.request import ClientRequest
 from sidecar_balancer.downstream.request_deadline import RequestDeadline
 from sidecar_balancer.downstream.response_connection import ConnectionContext, ResponseConnection
 from sidecar_balancer.runtime.errors import RequestError
-from sidecar_balancer.runtime.sockets import has_no_unread_input, peer_has_closed
+from sidecar_balancer.runtime.memory_budget import REQUEST_BYTES
+from sidecar_balancer.runtime.sockets import has_no_unread_input, peer_has_closed, unread_bytes
 from sidecar_balancer.runtime.streams import MAX_REQUEST_BODY_BYTES, Upload
 
 _CLIENT_CHECK_INTERVAL_S = 0.1  # interval between disconnect checks of a client that is not read
+_HIDDEN_CLOSE_S = 0.05  # no attempt may begin 0.1 s after its client has closed
 
 
 class UploadConnection(ResponseConnection):
@@ -35,6 +37,10 @@
         self._reading_paused = False
         self._client_check_timer: asyncio.TimerHandle | None = None
 
+    def _respond_with_error(self, error: RequestError) -> None:
+        """End the request, if one is in flight, with an error response."""
+        raise NotImplementedError
+
     def _parse_request(self, head: h11.Request, body: bytes) -> ClientRequest:
         """Parse and validate a request; raises RequestError."""
         raise NotImplementedError
@@ -50,6 +56,8 @@
         if self._request is not None and peer_has_closed(self._sock):
             self._client_disconnected()
             self.close()
+        elif self._request is not None and self._upload is None and self._client_may_have_left():
+            self._respond_with_error(RequestError(503, "more is sent ahead than can be read"))
 
     def _client_disconnected(self) -> None:
         client_request, self._request = self._request, None
@@ -77,7 +85,7 @@
             return
         was_paused = self._reading_paused
         upload_is_full = self._upload is not None and self._upload.is_full()
-        self._reading_paused = self._parse_scheduled or upload_is_full
+        self._reading_paused = self._parse_scheduled or upload_is_full or self._is_too_far_ahead()
         if self._reading_paused:
             if not was_paused:
                 self._arrival.reading_paused(asyncio.get_running_loop().time())
@@ -89,6 +97,26 @@
                 now = asyncio.get_running_loop().time()
                 self._arrival.reading_resumed(now)
                 self._deadline.restart_body(now)
+        self._update_charge()
+
+    def _is_too_far_ahead(self) -> bool:
+        """Return whether input waits that can't be parsed yet, and there is no room for more of it."""
+        is_waiting = self._write_blocked or self._h11.their_state is h11.DONE
+        return is_waiting and len(self._input) >= self.memory_budget.read_ahead_size()
+
+    def _client_may_have_left(self) -> bool:
+        """Return whether unread input may have hidden for some time that the client has closed."""
+        unread_since = self._arrival.unread_since
+        if not self._reading_paused or unread_since is None:
+            return False
+        hidden_s = asyncio.get_running_loop().time() - unread_since
+        return hidden_s > _HIDDEN_CLOSE_S and unread_bytes(self._sock) >= MIN_RECEIVE_WINDOW_BYTES
+
+    def _held_bytes(self) -> int:
+        held_bytes = super()._held_bytes()
+        if self._request is not None:
+            held_bytes += REQUEST_BYTES + len(self._request.body)
+        return held_bytes
 
     # -- The streamed body
 
@@ -106,9 +134,11 @@
         """Stream a long body; its request is handled before the body is complete."""
         client_request = self._parse_request(head, b"")
         self._start_request_timer()
-        self._upload = client_request.upload = Upload(length, self._update_reading, self._input_unread_since)
+        self._upload = client_request.upload = Upload(
+            length, self._update_reading, self._input_unread_since, self.memory_budget
+        )
         self._upload_bytes = len(self._body)
-        self.body_memory.active_streams += 1
+        self.memory_budget.active_streams += 1
         self._upload.feed(self._body)
         self._release_body()
         self.has_served = True
@@ -123,9 +153,11 @@
         return self._arrival.unread_since
 
     def _end_upload(self) -> None:
-        if self._upload is not None:
-            self._upload = None
-            self.body_memory.active_streams -= 1
+        upload, self._upload = self._upload, None
+        if upload is not None:
+            if not self._request_was_read():
+                upload.discard()  # no server may get a request whose end is missing
+            self.memory_budget.active_streams -= 1
             self._stop_timer()
             self._update_reading()
 
--- a/sidecar_balancer/proxy/proxy.py
+++ b/sidecar_balancer/proxy/proxy.py
@@ -156,9 +156,12 @@
         if request.streamed_attempt is None:
             self.by_client_request.pop(request.client_request, None)
         self._deadlines.cancel(request)
+        request.client_request.body = b""  # no further attempt is sent
         for attempt_index, attempt in list(request.attempts.items()):
             if attempt is not None and attempt_index != request.streamed_attempt:
                 self._endpoint_pool.cancel_unsent(attempt)
+        if request.client_request.upload is not None and request.streamed_attempt is None:
+            request.client_request.upload.discard()
         self._remove_if_finished(request)
 
     def _remove_if_finished(self, request: InFlightRequest) -> None:
--- a/sidecar_balancer/runtime/headers.py
+++ b/sidecar_balancer/runtime/headers.py
@@ -16,6 +16,11 @@
     return [(name, value) for name, value in headers if name not in _HOP_BY_HOP and name not in dropped]
 
 
+def is_chunked(headers: Iterable[tuple[bytes, bytes]]) -> bool:
+    """Return whether a body comes in chunks."""
+    return any(name == b"transfer-encoding" for name, _ in headers)
+
+
 def content_length(headers: Iterable[tuple[bytes, bytes]]) -> int | None:
     """Return the value of Content-Length in bytes; None if the header is missing."""
     for name, value in headers:
--- a/sidecar_balancer/runtime/queueing.py
+++ b/sidecar_balancer/runtime/queueing.py
@@ -14,6 +14,8 @@
 import struct
 import time
 
+from sidecar_balancer.runtime.turns import ClientEventLimit
+
 _IMMEDIATE_POLL_S = 0.001  # a poll that returns within this time did not wait, so its input may be older
 _LATE_RETURN_S = 0.01  # a poll that returns this long after its timeout was delayed
 _TCP_INFO_BYTES = 104  # size of the part of Linux' struct tcp_info that is read
@@ -29,8 +31,17 @@
         self._last_return = now
         self.unread_since = now  # the input of the current turn arrived after this
 
-    def record_poll(self, entered: float, returned: float, timeout: float | None) -> None:
-        """Record when a poll was entered and returned, and its timeout in seconds (None: no timeout)."""
+    def record_poll(
+        self, entered: float, returned: float, timeout: float | None, deferred_since: float | None = None
+    ) -> None:
+        """Record a poll.
+
+        Args:
+            entered: When it was entered.
+            returned: When it returned.
+            timeout: Its timeout in seconds; None: no timeout.
+            deferred_since: The time since which events of earlier polls wait to be handled; None: none wait.
+        """
         waited_s = returned - entered
         if waited_s < _IMMEDIATE_POLL_S:
             self.unread_since = self._last_return
@@ -38,22 +49,27 @@
             self.unread_since = entered
         else:
             self.unread_since = returned  # the poll was waiting when the input arrived
+        if deferred_since is not None:
+            self.unread_since = min(self.unread_since, deferred_since)
         self._last_return = returned
 
 
 class TimedSelector(selectors.EpollSelector):
-    """The selector of asyncio's default loop, with the times of its polls."""
+    """The selector of asyncio's default loop, with the times of its polls and a limit on clients' events."""
 
     def __init__(self) -> None:
         super().__init__()
         self.times = PollTimes(time.monotonic())
+        self.client_events = ClientEventLimit()
 
     def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
         """Poll, and record the times."""
         entered = time.monotonic()
+        deferred_since = self.client_events.oldest_deferral()
         events = super().select(timeout)
-        self.times.record_poll(entered, time.monotonic(), timeout)
-        return events
+        returned = time.monotonic()
+        self.times.record_poll(entered, returned, timeout, deferred_since)
+        return self.client_events.select(events, entered)
 
 
 class TimedLoop(asyncio.SelectorEventLoop):
@@ -62,6 +78,7 @@
     def __init__(self) -> None:
         selector = TimedSelector()
         self.poll_times = selector.times
+        self.client_events = selector.client_events
         super().__init__(selector)
 
 
@@ -71,6 +88,12 @@
     return poll_times or PollTimes(math.inf)
 
 
+def running_client_events() -> ClientEventLimit:
+    """Return the running loop's limit on clients' events; if it has none, one without effect."""
+    client_events: ClientEventLimit | None = getattr(asyncio.get_running_loop(), "client_events", None)
+    return client_events or ClientEventLimit()
+
+
 class BacklogAge:
     """Bound on how long connections waited in the backlog of a listening socket, a first-in-first-out queue.
 
--- a/sidecar_balancer/runtime/sockets.py
+++ b/sidecar_balancer/runtime/sockets.py
@@ -2,8 +2,47 @@
 
 from __future__ import annotations
 
+import contextlib
+import fcntl
 import select
 import socket
+import struct
+import termios
+
+_BUFFER_BYTES = 64 * 1024  # the kernel doubles it; its buffers belong to the memory of the sidecar
+_INT = struct.Struct("=i")
+
+
+def bound_send_buffer(sock: socket.socket) -> None:
+    """Keep the kernel from growing the send buffer to megabytes, so that the reading of a slow peer shows."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _BUFFER_BYTES)
+
+
+def peek(sock: socket.socket, size: int) -> bytes:
+    """Return unread input without taking it; b"" if there is none."""
+    try:
+        return sock.recv(size, socket.MSG_PEEK)
+    except OSError:
+        return b""
+
+
+def unread_bytes(sock: socket.socket) -> int:
+    """Return how many received bytes the kernel holds; 0 if that is unknown."""
+    return _queued_bytes(sock, termios.FIONREAD)
+
+
+def unacknowledged_bytes(sock: socket.socket) -> int:
+    """Return how many written bytes the peer's kernel has not acknowledged; 0 if that is unknown."""
+    return _queued_bytes(sock, termios.TIOCOUTQ)
+
+
+def _queued_bytes(sock: socket.socket, request: int) -> int:
+    try:
+        (size,) = _INT.unpack(fcntl.ioctl(sock.fileno(), request, bytes(_INT.size)))
+    except (OSError, ValueError):
+        return 0
+    return int(size)
 
 
 def has_no_unread_input(sock: socket.socket) -> bool:
--- a/sidecar_balancer/runtime/streams.py
+++ b/sidecar_balancer/runtime/streams.py
@@ -1,7 +1,7 @@
 """Streaming of long bodies in bounded memory, and the parsing shared by both sides of the proxy.
 
 Reading from a peer pauses while the other side reads more slowly than the peer sends.  So each stream buffers
-a few reads at most; the more streams there are, the smaller each read is.
+a few reads at most; the less memory is free, the smaller each read is.
 """
 
 from __future__ import annotations
@@ -10,62 +10,38 @@
 from collections.abc import Callable
 from typing import Protocol
 
-MAX_BUFFERED_BODY_BYTES = 64 * 1024  # bodies up to this size are buffered, so that the request can be retried
+from sidecar_balancer.runtime.head_buffer import HeadBuffer
+from sidecar_balancer.runtime.memory_budget import CONNECTION_BYTES, MemoryBudget, MemoryCharge
+from sidecar_balancer.runtime.turns import running_turn_queue
+
 MAX_REQUEST_BODY_BYTES = 32 * 1024 * 1024
-MAX_EVENTS_PER_TURN = 200  # limit on parser events, as one read may contain thousands of tiny chunks
+MAX_EVENTS_PER_TURN = 64  # limit on parser events, as one read may contain thousands of tiny chunks
 STALL_TIMEOUT_S = 10.0  # limit on the time without progress; slow peers may pause for seconds
-_MAX_READ_BYTES = 64 * 1024
-_MIN_READ_BYTES = 4 * 1024
-_BUFFERS_PER_STREAM = 4  # the data read, parsed and waiting to be written, and copies between these stages
-_BODY_MEMORY_RATIO = 0.125  # share of the memory limit for streams, and the same share for buffered bodies
-_DEFAULT_MEMORY_MB = 64
-
-
-class BodyMemory:
-    """The memory that the bodies of one sidecar may occupy.
-
-    Attributes:
-        active_streams: The number of long bodies that are being streamed.
-        buffered_bytes: The total size of the buffered bodies.
-        read_view: The buffer that all connections read into, one at a time; valid until the next read.
-    """
-
-    def __init__(self, memory_mb: int = _DEFAULT_MEMORY_MB) -> None:
-        """Derive the limits from the sidecar's memory limit in MiB."""
-        self._max_bytes = int(memory_mb * 1024 * 1024 * _BODY_MEMORY_RATIO)
-        self.read_view = memoryview(bytearray(_MAX_READ_BYTES))
-        self.active_streams = 0
-        self.buffered_bytes = 0
-
-    def read_size(self) -> int:
-        """Return the maximum number of bytes to read from one peer at a time."""
-        fair_share = self._max_bytes // (_BUFFERS_PER_STREAM * max(self.active_streams, 1))
-        return max(_MIN_READ_BYTES, min(_MAX_READ_BYTES, fair_share))
-
-    def may_buffer(self, size: int) -> bool:
-        """Return whether a body that has grown to this size may stay buffered."""
-        return size <= MAX_BUFFERED_BODY_BYTES and self.buffered_bytes <= self._max_bytes
+RESPONSE_STALL_TIMEOUT_S = 60.0  # the same for a server that has begun a long response
 
 
 class BufferedReceiver(asyncio.BufferedProtocol):
-    """A connection that is read and parsed in bounded steps, and whose bodies count in the shared memory."""
+    """A connection that is read and parsed in bounded steps, and charges what it holds to the budget."""
 
-    def __init__(self, body_memory: BodyMemory) -> None:
-        """Count the bodies of this connection in `body_memory`."""
-        self.body_memory = body_memory
+    def __init__(self, memory_budget: MemoryBudget) -> None:
+        """Charge what this connection holds to `memory_budget`."""
+        self.memory_budget = memory_budget
+        self._charge = MemoryCharge(memory_budget)
         self._transport: asyncio.Transport | None = None
+        self._input = HeadBuffer()  # received but not parsed
         self._body = bytearray()  # body of the message that is being received
+        self._head_bytes = 0  # memory of the parsed head
         self._parse_scheduled = False  # parsing continues in the next turn
         self._read_was_full = False  # the last read filled the buffer, so that more may be unread
 
     def get_buffer(self, _sizehint: int) -> memoryview:
         """Return the buffer for the next bytes received."""
-        return self.body_memory.read_view[: self.body_memory.read_size()]
+        return self.memory_budget.read_view[: self.memory_budget.read_size()]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Handle the bytes that were received into the buffer."""
-        self._read_was_full = nbytes >= self.body_memory.read_size()
-        self.data_received(bytes(self.body_memory.read_view[:nbytes]))
+        self._read_was_full = nbytes >= self.memory_budget.read_size()
+        self.data_received(bytes(self.memory_budget.read_view[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
         """Handle input."""
@@ -90,14 +66,21 @@
                 return
         self._parse_scheduled = True
         self._update_reading()
-        asyncio.get_running_loop().call_soon(self._continue_parsing)
+        running_turn_queue().call_soon(self._continue_parsing)
+
+    # -- Memory
 
-    def _buffer_body(self, data: bytes | bytearray) -> None:
-        self._body += data
-        self.body_memory.buffered_bytes += len(data)
+    def _held_bytes(self) -> int:
+        """Return the memory that the connection holds, beside its unsent output."""
+        return CONNECTION_BYTES + len(self._input) + self._head_bytes + len(self._body)
+
+    def _update_charge(self) -> None:
+        """Charge what the connection holds now; nothing once it is closed."""
+        unsent_bytes = 0 if self._transport is None else self._transport.get_write_buffer_size()
+        is_closed = self._transport is None or self._transport.is_closing()
+        self._charge.update(unsent_bytes + (0 if is_closed else self._held_bytes()))
 
     def _release_body(self) -> None:
-        self.body_memory.buffered_bytes -= len(self._body)
         self._body = bytearray()
 
 
@@ -139,9 +122,15 @@
     """
 
     def __init__(
-        self, length: int | None, on_drained: Callable[[], None], unread_since: Callable[[], float | None]
+        self,
+        length: int | None,
+        on_drained: Callable[[], None],
+        unread_since: Callable[[], float | None],
+        memory_budget: MemoryBudget,
     ) -> None:
         """Create an empty body; `on_drained` is called each time that a read has emptied the buffer."""
+        self._memory_budget = memory_budget
+        self._charge = MemoryCharge(memory_budget)
         self.length = length
         self.unread_since = unread_since
         self.consumed = False
@@ -152,7 +141,12 @@
 
     def is_full(self) -> bool:
         """Return whether reading from the client must pause."""
-        return len(self._buffer) > MAX_BUFFERED_BODY_BYTES
+        return len(self._buffer) > self._memory_budget.stream_buffer_size()
+
+    def discard(self) -> None:
+        """Drop what was not read, as nobody will read it."""
+        self._buffer = bytearray()
+        self._charge.update(0)
 
     def is_available(self) -> bool:
         """Return whether an attempt may start to read: no other one has read data or may still do so."""
@@ -170,6 +164,7 @@
     def feed(self, data: bytes | bytearray) -> None:
         """Append received bytes."""
         self._buffer += data
+        self._charge.update(len(self._buffer))
         if self._on_data is not None:
             self._on_data()
 
@@ -183,6 +178,7 @@
         """Return and remove all buffered data."""
         data = bytes(self._buffer)
         self._buffer.clear()
+        self._charge.update(0)
         if data:
             self.consumed = True
             self._on_drained()
--- a/sidecar_balancer/sidecar/sidecar.py
+++ b/sidecar_balancer/sidecar/sidecar.py
@@ -28,8 +28,8 @@
 from sidecar_balancer.policy.types import ListKind
 from sidecar_balancer.proxy.proxy import Proxy
 from sidecar_balancer.runtime.engine import Engine
+from sidecar_balancer.runtime.memory_budget import MemoryBudget
 from sidecar_balancer.runtime.queueing import PollTimes, running_poll_times
-from sidecar_balancer.runtime.streams import BodyMemory
 from sidecar_balancer.runtime.timers import Timers
 from sidecar_balancer.sidecar.endpoint_updates import EndpointUpdates
 from sidecar_balancer.sidecar.membership_setup import create_membership
@@ -73,13 +73,13 @@
         self._settings = settings = config.settings
         self._timers = Timers()
         self.engine = Engine(settings, config.seed, self._timers)
-        body_memory = BodyMemory(config.memory_mb)
+        memory_budget = MemoryBudget(config.memory_mb)
         # The limit applies to client connections and to server connections separately.
-        max_connections = max((config.max_sockets - _RESERVED_DESCRIPTORS) // 2, 1)
+        max_connections = memory_budget.connection_limit(config.max_sockets, _RESERVED_DESCRIPTORS)
         poll_times = running_poll_times()
         limits = settings.limits
         self.endpoint_pool = EndpointPool(
-            limits.dial_timeout_us / 1e6, limits.idle_close_us / 1e6, max_connections, body_memory
+            limits.dial_timeout_us / 1e6, limits.idle_close_us / 1e6, max_connections, memory_budget
         )
         self.discovery = self._create_discovery(config, poll_times)
         latencies = _create_latency_histograms(config)
@@ -90,7 +90,7 @@
             self.proxy,
             settings,
             config.inherited_listener_fd,
-            body_memory,
+            memory_budget,
             poll_times,
         )
         self._is_takeover = config.inherited_listener_fd is not None
--- a/sidecar_balancer/sidecar/status_log.py
+++ b/sidecar_balancer/sidecar/status_log.py
@@ -11,6 +11,7 @@
 from sidecar_balancer.downstream.frontend import Frontend
 from sidecar_balancer.policy.balancer import Balancer
 from sidecar_balancer.proxy.proxy import Proxy, count_by_status
+from sidecar_balancer.runtime.resident_memory import resident_bytes
 from sidecar_balancer.upstream.endpoint_pool import EndpointPool
 
 log = logging.getLogger(__name__)
@@ -56,15 +57,21 @@
         if not new_responses:
             return
         self._logged_response_counts = self._proxy.response_counts.copy()
+        memory_budget = self._frontend.memory_budget
         cpu_s = time.process_time() - self._logged_cpu_s
         self._logged_cpu_s += cpu_s
         log.info(
-            "responses %s; %d client connections, %d in flight, %d server connections, %.2f s of CPU; %s",
+            "responses %s; %d client connections, %d in flight, %d server connections, %.2f s of CPU; "
+            "peers hold %d of %d KiB, %.1f MiB resident, %d connections evicted; %s",
             ", ".join(f"{count} x {status}" for status, count in new_responses.items()),
             len(self._frontend.connections),
             len(self._proxy.by_client_request),
             self._endpoint_pool.open_count,
             cpu_s,
+            memory_budget.used_bytes // 1024,
+            memory_budget.total_bytes // 1024,
+            resident_bytes() / 2**20,
+            self._frontend.evictions,
             state_summary(self._balancer),
             extra={"event": "state", "answered": new_responses},
         )
--- a/sidecar_balancer/upstream/endpoint_pool.py
+++ b/sidecar_balancer/upstream/endpoint_pool.py
@@ -12,7 +12,7 @@
 
 from sidecar_balancer.addresses import Address
 from sidecar_balancer.policy.types import Outcome, ServerState
-from sidecar_balancer.runtime.streams import MAX_BUFFERED_BODY_BYTES, BodyMemory
+from sidecar_balancer.runtime.memory_budget import MAX_BUFFERED_BODY_BYTES, MemoryBudget
 from sidecar_balancer.upstream.dialing import connect
 from sidecar_balancer.upstream.exchange import Exchange, OnOutcome, PooledEndpoint, UpstreamRequest
 from sidecar_balancer.upstream.response import Response, classify_outcome
@@ -34,7 +34,7 @@
         dial_timeout_s: float,
         idle_timeout_s: float,
         max_connections: int,
-        body_memory: BodyMemory | None = None,
+        memory_budget: MemoryBudget | None = None,
     ) -> None:
         """Start without endpoints.
 
@@ -42,9 +42,9 @@
             dial_timeout_s: The longest time that a dial may take.
             idle_timeout_s: The time for which servers keep idle connections.
             max_connections: The maximum number of connections, including those being dialed.
-            body_memory: The memory that bodies are counted in.
+            memory_budget: The memory that bodies are counted in.
         """
-        self._body_memory = body_memory or BodyMemory()
+        self._memory_budget = memory_budget or MemoryBudget()
         self._dial_timeout_s = dial_timeout_s
         self._idle_timeout_s = idle_timeout_s * (1.0 - _IDLE_MARGIN_RATIO)
         self._max_connections = max_connections
@@ -264,7 +264,7 @@
         """Dial and write the request; `open_count` counts the dial until it ends or its connection opens."""
         endpoint = exchange.endpoint
         try:
-            connection = await connect(endpoint.address, MAX_BUFFERED_BODY_BYTES, self._body_memory)
+            connection = await connect(endpoint.address, MAX_BUFFERED_BODY_BYTES, self._memory_budget)
         except (OSError, ValueError) as error:  # ValueError: the host is not a valid name
             extra = {"event": "connect_failed", "server": endpoint.name}
             log.info("connecting to %s failed: %s", endpoint.name, error, extra=extra)
--- a/sidecar_balancer/upstream/request_connection.py
+++ b/sidecar_balancer/upstream/request_connection.py
@@ -7,8 +7,9 @@
 
 import h11
 
+from sidecar_balancer.runtime.head_buffer import MAX_CHUNKS_PIECE_BYTES
+from sidecar_balancer.runtime.memory_budget import MemoryBudget
 from sidecar_balancer.runtime.streams import (
-    BodyMemory,
     BufferedReceiver,
     ResponseSink,
     ResponseSource,
@@ -27,11 +28,11 @@
         response_began: Whether a byte of the response was received, which shows that the process is up.
     """
 
-    def __init__(self, body_memory: BodyMemory) -> None:
-        """Count bodies in `body_memory`."""
-        super().__init__(body_memory)
+    def __init__(self, memory_budget: MemoryBudget) -> None:
+        """Count bodies in `memory_budget`."""
+        super().__init__(memory_budget)
         self.response_began = False
-        self._h11 = h11.Connection(h11.CLIENT)
+        self._h11 = h11.Connection(h11.CLIENT, MAX_CHUNKS_PIECE_BYTES)
         self._on_response: Callable[[Response | None], None] | None = None
         self._start_streaming: StartStreaming | None = None
         self._written = False
@@ -55,6 +56,7 @@
         """Store the transport."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._update_charge()
         transport.set_write_buffer_limits(high=0)  # resume_writing then means that the kernel has all data
 
     def _check_progress(self, last_progress: int | None = None) -> None:
@@ -91,6 +93,7 @@
         if upload is not None:
             self._upload = upload
             self._transport.write(data)
+            self._update_charge()
             self._check_progress()
             upload.attach(self._write_upload)
             self._write_upload()
@@ -98,6 +101,7 @@
         events = [h11.Data(data=body), h11.EndOfMessage()] if body else [h11.EndOfMessage()]
         data += b"".join(self._h11.send(event) or b"" for event in events)
         self._transport.write(data)
+        self._update_charge()
         self._update_written()
 
     def _update_written(self) -> None:
@@ -113,6 +117,7 @@
             if data := self._upload.read():
                 self._progress += len(data)
                 self._transport.write(self._h11.send(h11.Data(data=data)) or b"")
+                self._update_charge()
             elif self._upload.is_complete:
                 self._detach_upload()
                 self._transport.write(self._h11.send(h11.EndOfMessage()) or b"")
@@ -133,6 +138,7 @@
         """Continue after all written data has gone to the kernel."""
         self._write_buffer_full = False
         self._progress += 1
+        self._update_charge()
         if self._upload is not None:
             self._write_upload()
         else:
--- a/sidecar_balancer/upstream/server_connection.py
+++ b/sidecar_balancer/upstream/server_connection.py
@@ -13,13 +13,11 @@
 
 import h11
 
-from sidecar_balancer.runtime.headers import content_length
-from sidecar_balancer.runtime.sockets import has_no_unread_input
-from sidecar_balancer.runtime.streams import (
-    STALL_TIMEOUT_S,
-    BodyMemory,
-    ResponseSink,
-)
+from sidecar_balancer.runtime.head_buffer import HeadTooLargeError
+from sidecar_balancer.runtime.headers import content_length, is_chunked
+from sidecar_balancer.runtime.memory_budget import MemoryBudget, head_bytes
+from sidecar_balancer.runtime.sockets import has_no_unread_input, unacknowledged_bytes
+from sidecar_balancer.runtime.streams import RESPONSE_STALL_TIMEOUT_S, STALL_TIMEOUT_S, ResponseSink
 from sidecar_balancer.upstream.request_connection import RequestConnection
 from sidecar_balancer.upstream.response import Response, is_framed
 
@@ -38,9 +36,9 @@
         on_closed: Called once when the connection is closed by either side.
     """
 
-    def __init__(self, sock: socket.socket, max_body_bytes: int, body_memory: BodyMemory) -> None:
+    def __init__(self, sock: socket.socket, max_body_bytes: int, memory_budget: MemoryBudget) -> None:
         """Wrap a connected socket; response bodies longer than `max_body_bytes` are streamed or fail."""
-        super().__init__(body_memory)
+        super().__init__(memory_budget)
         self.sock = sock
         self.reusable = True
         self.idle_since = 0.0
@@ -68,29 +66,45 @@
             return
         self.response_began = True
         self._progress += len(data)
-        self._feed_parser(data)
+        self._input.append(data)
+        self._parse()
+        self._update_charge()
 
     def eof_received(self) -> bool:
         """End a response that is delimited by the end of the connection, and let the transport close."""
         if self._on_response is not None:
-            self._feed_parser(b"")
+            self._receive_end()
         return False
 
-    def _feed_parser(self, data: bytes) -> None:
+    def _receive_end(self) -> None:
         try:
-            self._h11.receive_data(data)
+            if rest := self._input.take_piece(is_chunked=True):  # of a head that has no end
+                self._h11.receive_data(rest)
+            self._h11.receive_data(b"")
         except h11.RemoteProtocolError as error:
-            self._fail_parsing(error, data)
+            self._fail_parsing(error)
         else:
-            self._parse(data)
+            self._parse()
+
+    def _feed_parser(self) -> bool:
+        """Pass the next part of the input to the parser; return whether there was any."""
+        if self._response_head is None:
+            data = self._input.take_head()
+        else:
+            data = self._input.take_piece(is_chunked(self._response_head.headers))
+        if data:
+            self._h11.receive_data(data)
+        return bool(data)
 
-    def _parse(self, data: bytes = b"") -> None:
+    def _parse(self) -> None:
+        if self._parse_scheduled:
+            return
         try:
             self._handle_events()
             self._flush_to_sink()
-        except h11.RemoteProtocolError as error:
+        except (h11.RemoteProtocolError, HeadTooLargeError) as error:
             self._flush_to_sink()
-            self._fail_parsing(error, data)
+            self._fail_parsing(error)
 
     def _continue_parsing(self) -> None:
         self._parse_scheduled = False
@@ -98,13 +112,15 @@
             self._parse()
             self._update_reading()
 
-    def _fail_parsing(self, error: Exception, data: bytes) -> None:
+    def _fail_parsing(self, error: Exception) -> None:
         extra = {"event": "response_malformed"}
-        log.info("truncated or malformed response: %.80s; last input: %.60r", error, data, extra=extra)
+        log.info("truncated or malformed response: %.80s", error, extra=extra)
         self._finish(None)
 
     def _handle_next_event(self) -> bool:
         event = self._h11.next_event()
+        if event is h11.NEED_DATA:
+            return self._feed_parser()
         if isinstance(event, h11.Response):
             return self._handle_head(event)
         if isinstance(event, h11.Data):
@@ -112,10 +128,11 @@
         if isinstance(event, h11.EndOfMessage):
             self._finish(self._buffered_response())
             return False
-        return not isinstance(event, h11.ConnectionClosed | type(h11.NEED_DATA))
+        return not isinstance(event, h11.ConnectionClosed)
 
     def _handle_head(self, head: h11.Response) -> bool:
         self._response_head = head
+        self._head_bytes = head_bytes(head)
         if head.status_code == 200 and not self._written:
             extra = {"event": "response_before_request_end"}  # it can't be a response to this request
             log.info("response before the request was complete", extra=extra)
@@ -137,9 +154,10 @@
         if not self._body and self._start_streaming is not None and self._announced_length is None:
             loop = asyncio.get_running_loop()
             self._buffering_timer = loop.call_later(_MAX_RESPONSE_BUFFERING_S, self._stream_slow_response)
-        self._buffer_body(data)
+        self._body += data
+        self._update_charge()
         if len(self._body) > self._max_body_bytes or (
-            self._start_streaming is not None and not self.body_memory.may_buffer(len(self._body))
+            self._start_streaming is not None and not self.memory_budget.may_buffer(len(self._body))
         ):
             return self._begin_streaming(self._announced_length)
         return True
@@ -166,7 +184,7 @@
         if self._sink is None:
             self._finish(None)
             return False
-        self.body_memory.active_streams += 1
+        self.memory_budget.active_streams += 1
         self._unforwarded += self._body
         self._stop_buffering()
         self._check_progress()
@@ -187,6 +205,9 @@
             self._buffering_timer.cancel()
             self._buffering_timer = None
 
+    def _held_bytes(self) -> int:
+        return super()._held_bytes() + len(self._unforwarded)
+
     def _flush_to_sink(self) -> None:
         if self._unforwarded and self._sink is not None:
             data, self._unforwarded = bytes(self._unforwarded), bytearray()
@@ -216,33 +237,43 @@
             self._stall_timer = None
             return
         awaits_server = self._write_buffer_full if self._upload is not None else not self._sink_paused
-        unsent_bytes = self._transport.get_write_buffer_size() if self._transport is not None else 0
+        unsent_bytes = unacknowledged_bytes(self.sock)
+        unsent_bytes += self._transport.get_write_buffer_size() if self._transport is not None else 0
         progress = self._progress - unsent_bytes
         if awaits_server and progress == last_progress:
             extra = {"event": "body_stalled"}
-            log.info("no progress on a long body for %.0f s", STALL_TIMEOUT_S, extra=extra)
+            log.info("no progress on a long body for %.0f s", self._stall_timeout_s(), extra=extra)
             self._finish(None)
             return
         if self._stall_timer is not None:
             self._stall_timer.cancel()
         self._stall_timer = asyncio.get_running_loop().call_later(
-            STALL_TIMEOUT_S, self._check_progress, progress if awaits_server else None
+            self._stall_timeout_s(), self._check_progress, progress if awaits_server else None
         )
 
+    def _stall_timeout_s(self) -> float:
+        return STALL_TIMEOUT_S if self._upload is not None else RESPONSE_STALL_TIMEOUT_S
+
     # -- Ending an exchange or the connection
 
     def _finish(self, response: Response | None) -> None:
         on_response, self._on_response = self._on_response, None
         self._end_bodies(response is not None)
         self._response_head = None
+        self._start_streaming = None  # it refers to the request and its client
+        self._head_bytes = 0
         is_done = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
-        if response is None or not is_done or not self._written or self._h11.trailing_data[0]:
+        if response is None or not is_done or not self._written or self._has_stray_input():
             self.abort()
         else:
             self._h11.start_next_cycle()
+        self._update_charge()
         if on_response is not None:
             on_response(response)
 
+    def _has_stray_input(self) -> bool:
+        return bool(self._input) or bool(self._h11.trailing_data[0])
+
     def _end_bodies(self, complete: bool) -> None:
         """Release the bodies that are buffered or streamed for the request that was in flight."""
         self._detach_upload()
@@ -254,7 +285,7 @@
         if sink is not None:
             self._flush_to_sink()
             self._sink, self._sink_paused = None, False
-            self.body_memory.active_streams -= 1
+            self.memory_budget.active_streams -= 1
             self._update_reading()
             if complete:
                 sink.end_response()
@@ -274,10 +305,14 @@
             )
         self.reusable = False
         self._end_bodies(False)
+        self._input.clear()
+        self._update_charge()
         if on_response is not None:
             on_response(None)
-        if self.on_closed is not None:
-            self.on_closed()
+        self._start_streaming = None
+        on_closed, self.on_closed = self.on_closed, None  # it refers to this connection
+        if on_closed is not None:
+            on_closed()
 
     def abort(self) -> None:
         """Close at once, discarding unwritten data."""
--- a/tests/downstream/test_stopped_clients_soak.py
+++ b/tests/downstream/test_stopped_clients_soak.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from loopback import SidecarEnvironment, http_response, read_response, request, running_sidecar
+from loopback import SidecarEnvironment, http_response, read_response, request, running_sidecar, with_new_id
 from raw_server import connect_client
 from virtual_clock import RunScenario
 
@@ -108,6 +108,7 @@
     async def _send(self, environment: SidecarEnvironment, data: bytes, pieces: int, pause_s: float) -> str:
         """Send one request and return its status, or "closed" without a response."""
         reader, writer = await connect_client(environment)
+        data = with_new_id(data)
         size = -(-len(data) // pieces)
         try:
             for start in range(0, len(data), size):
