Keep the ids that may have run, and let no request with one of them run again

An id of a class that may not be repeated is claimed before its first attempt, and given up only if no attempt can have run. Another request with it gets 409, which promises nothing; 503 would say that trying again is harmless. Not taken: a file for each id (more memory), ids told over the network (there is none).

--- a/sidecar_balancer/proxy/in_flight.py
+++ b/sidecar_balancer/proxy/in_flight.py
@@ -25,6 +25,8 @@
         attempts: Attempts that have not ended, by their index; None while one is being started.
         failsafe_timer: Fails the request at its deadline if the balancer does not.
         body_timer: Checks whether the client's time may be over while the body is still arriving.
+        id_claimed: Whether its id is claimed, so that no other request with it is sent.
+        may_have_run: Whether a server may have executed it.
         streamed_attempt: The index of the attempt whose response is streamed.
         first_byte_us: The time to the first byte of the streamed response.
         attempt_outcomes: Descriptions of how the attempts ended, for the log.
@@ -39,6 +41,8 @@
     attempts: dict[int, Exchange | None] = field(default_factory=dict)
     failsafe_timer: asyncio.TimerHandle | None = None
     body_timer: asyncio.TimerHandle | None = None
+    id_claimed: bool = False
+    may_have_run: bool = False
     streamed_attempt: int | None = None
     first_byte_us: int = 0
     attempt_outcomes: list[str] = field(default_factory=list)
--- a/sidecar_balancer/proxy/proxy.py
+++ b/sidecar_balancer/proxy/proxy.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import logging
 import math
 from collections import Counter
 from functools import partial
@@ -21,7 +22,7 @@
     RequestReceived,
     ResponseStarted,
 )
-from sidecar_balancer.policy.settings import ReportSource, Settings
+from sidecar_balancer.policy.settings import Idempotency, ReportSource, Settings
 from sidecar_balancer.policy.types import Outcome
 from sidecar_balancer.proxy.deadlines import RequestDeadlines
 from sidecar_balancer.proxy.forwarding import attempt_head, content_headers
@@ -29,15 +30,18 @@
 from sidecar_balancer.proxy.request_log import RequestLog
 from sidecar_balancer.runtime.engine import Engine
 from sidecar_balancer.runtime.headers import Headers
+from sidecar_balancer.runtime.request_ids import ClaimsExhaustedError, RequestIds
 from sidecar_balancer.runtime.streams import ResponseSink, ResponseSource
 from sidecar_balancer.upstream.endpoint_pool import EndpointPool
-from sidecar_balancer.upstream.exchange import UpstreamRequest
+from sidecar_balancer.upstream.exchange import Exchange, UpstreamRequest
 from sidecar_balancer.upstream.load_report import parse_health_report, parse_load_report
 from sidecar_balancer.upstream.response import Response
 
 if TYPE_CHECKING:
     from sidecar_balancer.observability.latency import LatencyHistograms
 
+log = logging.getLogger(__name__)
+
 
 class Proxy:
     """The requests in flight; each gets one response, and each of its attempts is ended.
@@ -55,6 +59,7 @@
         engine: Engine,
         endpoint_pool: EndpointPool,
         latencies: LatencyHistograms | None,
+        request_ids: RequestIds | None = None,
     ) -> None:
         """Register with the engine as executor of the actions on requests, attempts and health checks."""
         self.in_flight: dict[int, InFlightRequest] = {}
@@ -66,12 +71,16 @@
         self._endpoint_pool = endpoint_pool
         self._deadlines = RequestDeadlines(engine, endpoint_pool, self.abandon)
         self._latencies = latencies
+        self._request_ids = request_ids or RequestIds()
         classes = settings.classes
         self._latency_objectives_us = {
             service_class.name: service_class.latency_objective_us for service_class in classes
         }
         self._longest_deadline_s = max(service_class.deadline_us for service_class in classes) / 1e6
-        self._request_ids = itertools.count(1)
+        self._numbers = itertools.count(1)
+        self._idempotent_classes = {
+            each.name for each in classes if each.idempotency is Idempotency.IDEMPOTENT
+        }
         engine.on_exception = self.abandon
         engine.executors |= {
             SendAttempt: self.send,
@@ -86,7 +95,7 @@
     def request_received(self, client_request: ClientRequest) -> None:
         """Pass a request to the balancer; if its body is streamed, the rest may still be arriving."""
         now = self._engine.clock.now()
-        request = InFlightRequest(next(self._request_ids), client_request, now, None)
+        request = InFlightRequest(next(self._numbers), client_request, now, None)
         self.in_flight[request.request_id] = self.by_client_request[client_request] = request
         if client_request.upload is None:
             self._deadlines.start(request)
@@ -167,6 +176,8 @@
     def _remove_if_finished(self, request: InFlightRequest) -> None:
         if request.answered and not request.attempts:
             self.in_flight.pop(request.request_id, None)
+            if request.id_claimed and not request.may_have_run:
+                self._request_ids.release(request.client_request.request_id)
             self.by_client_request.pop(request.client_request, None)
 
     # -- The balancer's actions
@@ -196,6 +207,7 @@
         request = self.in_flight.get(action.request)
         if request is not None and not request.answered:
             request.client_request.response_writer.check_connected()
+            self._claim_id(request)
         attempt_index = request.attempts_started if request is not None else 0
         if request is not None:
             request.attempts_started += 1
@@ -220,6 +232,22 @@
         if attempt_index in request.attempts:
             request.attempts[attempt_index] = exchange
 
+    def _claim_id(self, request: InFlightRequest) -> None:
+        """Claim the id of a request that may run once at most, or else end the request."""
+        client_request = request.client_request
+        is_idempotent = client_request.service_class in self._idempotent_classes
+        if request.answered or request.id_claimed or is_idempotent:
+            return
+        status = 503
+        try:
+            request.id_claimed = self._request_ids.claim(client_request.request_id)
+            status = 409
+        except ClaimsExhaustedError as error:
+            log.warning("no id can be claimed: %s", error, extra={"event": "request_ids_exhausted"})
+        if not request.id_claimed:
+            self.respond(request, status, [], b"")
+            self._engine.handle(ClientDisconnected(request.request_id))
+
     def _upstream_request(
         self, request: InFlightRequest, attempt_index: int, server: str, sent_at: int
     ) -> UpstreamRequest:
@@ -315,7 +343,8 @@
     ) -> None:
         if attempt_index not in request.attempts:
             return
-        del request.attempts[attempt_index]
+        if _may_have_run(outcome, request.attempts.pop(attempt_index)):
+            request.may_have_run = True
         elapsed_us = self._engine.clock.now() - max(sent_at, request.received_at)
         description = outcome.value if response is None else f"{outcome.value} {response.status}"
         request.attempt_outcomes.append(f"{server} {description} {elapsed_us / 1000:.1f} ms")
@@ -349,6 +378,15 @@
         return parse_load_report(response.header(b"x-load-report"), self._settings.report_columns)
 
 
+def _may_have_run(outcome: Outcome, exchange: Exchange | None) -> bool:
+    """Return whether an attempt that ended may have been executed."""
+    if outcome in (Outcome.UNSENT, Outcome.CONNECT_FAILED, Outcome.REJECTED):
+        return False
+    if outcome is Outcome.CANCELLED and exchange is not None:
+        return exchange.connection is not None and exchange.connection.written
+    return True
+
+
 def count_by_status(response_counts: Counter[int]) -> dict[str, int]:
     """Return the number of responses by status, ordered by status."""
     return {str(status): count for status, count in sorted(response_counts.items())}
--- a/sidecar_balancer/sidecar/sidecar.py
+++ b/sidecar_balancer/sidecar/sidecar.py
@@ -30,6 +30,7 @@
 from sidecar_balancer.runtime.engine import Engine
 from sidecar_balancer.runtime.memory_budget import MemoryBudget
 from sidecar_balancer.runtime.queueing import PollTimes, running_poll_times
+from sidecar_balancer.runtime.request_ids import RequestIds
 from sidecar_balancer.runtime.timers import Timers
 from sidecar_balancer.sidecar.endpoint_updates import EndpointUpdates
 from sidecar_balancer.sidecar.membership_setup import create_membership
@@ -82,8 +83,9 @@
             limits.dial_timeout_us / 1e6, limits.idle_close_us / 1e6, max_connections, memory_budget
         )
         self.discovery = self._create_discovery(config, poll_times)
+        self._request_ids = RequestIds(config.request_ids_folder)
         latencies = _create_latency_histograms(config)
-        self.proxy = Proxy(settings, self.engine, self.endpoint_pool, latencies)
+        self.proxy = Proxy(settings, self.engine, self.endpoint_pool, latencies, self._request_ids)
         self.frontend = Frontend(
             config.listen,
             max_connections,
@@ -186,6 +188,7 @@
         await self.discovery.close()
         await self.endpoint_pool.close()
         self._timers.close()
+        self._request_ids.close()
         if self.admin_server is not None:
             self.admin_server.stop()
         if self._membership is not None:
