Keep state for at most 64 tenants that the settings do not declare

Change: beyond 64 undeclared names a request counts for its class alone. Declared tenants are not affected.

--- a/sidecar_balancer/policy/components.py
+++ b/sidecar_balancer/policy/components.py
@@ -168,6 +168,7 @@
     def _build_request_path(self) -> None:
         self.intake = RequestIntake(
             self._settings.classes,
+            self._settings.tenants,
             self._settings.tick_us,
             received=self._requests_received,
             latency=self.latency,
--- a/sidecar_balancer/policy/intake.py
+++ b/sidecar_balancer/policy/intake.py
@@ -20,12 +20,13 @@
 from sidecar_balancer.policy.request import NO_DEADLINE, Request
 from sidecar_balancer.policy.request_table import RequestTable
 from sidecar_balancer.policy.retry_budget import RetryBudget
-from sidecar_balancer.policy.settings import ServiceClass
+from sidecar_balancer.policy.settings import ServiceClass, Tenant
 from sidecar_balancer.policy.stalls import StallDetector
 from sidecar_balancer.policy.timer_queue import TimerKind, TimerQueue
 from sidecar_balancer.policy.types import Flow
 
 DEADLINE_MARGIN_TICKS = 2  # a final answer is sent this many clock ticks before the client's deadline
+MAX_UNDECLARED_TENANTS = 64  # state is kept by tenant, and clients may send any names
 COST_EXPONENT_MIN, COST_EXPONENT_MAX = -3, 4
 
 
@@ -35,6 +36,7 @@
     def __init__(
         self,
         classes: Iterable[ServiceClass],
+        tenants: Iterable[Tenant],
         clock_tick_us: int,
         received: Rate,
         latency: LatencyTracker,
@@ -48,6 +50,8 @@
         timers: TimerQueue,
     ) -> None:
         self._classes = {service_class.name: service_class for service_class in classes}
+        self._tenants = {tenant.name for tenant in tenants}
+        self._max_tenants = len(self._tenants) + MAX_UNDECLARED_TENANTS
         self._deadline_margin_us = DEADLINE_MARGIN_TICKS * clock_tick_us
         self._received = received
         self._latency = latency
@@ -70,7 +74,7 @@
         self._budget.request_received()
         cost = self._latency.relative_cost(service_class, event.cost_us)
         exponent = max(COST_EXPONENT_MIN, min(math.frexp(cost)[1], COST_EXPONENT_MAX))
-        flow = Flow(service_class.name, event.tenant)
+        flow = Flow(service_class.name, self._bounded_tenant(event.tenant))
         request = Request(event.request, service_class, NO_DEADLINE, cost, flow, exponent)
         request.is_streamed = event.body_open
         self._table.add(request)
@@ -81,6 +85,15 @@
         else:
             self._placement.place(now, request)
 
+    def _bounded_tenant(self, tenant: str | None) -> str | None:
+        """Return the tenant, or None for one of too many that the settings do not declare."""
+        if tenant is None or tenant in self._tenants:
+            return tenant
+        if len(self._tenants) >= self._max_tenants:
+            return None
+        self._tenants.add(tenant)
+        return tenant
+
     def body_ended(self, now: int, event: RequestBodyEnded) -> None:
         """Start a request's deadline, and the latency of its pending attempts, at its last byte."""
         request = self._table.requests.get(event.request)
