Share the limits with the other process of an upgrade, and refuse who has waited for room in vain

Where every connection was busy, new ones waited in the kernel's queue without a bound (30 s beside a crowd in every state). Change: each process publishes its connections and resident memory every 0.1 s in $TMPDIR, and leaves the others what they use; what is idle beyond the shared limit is closed. Where no room could be made for 0.5 s, waiting connections get 503, unread; 16 at a time use descriptors that are kept free.

--- a/sidecar_balancer/config/loading.py
+++ b/sidecar_balancer/config/loading.py
@@ -184,7 +184,7 @@
     _Part("locality", "locality", lambda source: read_locality(source.raw_config.get("locality"))),
     _Part("known", "initial_endpoints", _read_initial_endpoints),
     _Part("orders", "overrides_folder", _Source.temporary_folder),
-    _Part("request_ids", "request_ids_folder", _Source.temporary_folder),
+    _Part("shared", "shared_folder", _Source.temporary_folder),
     _Part("mgmt", "admin_address", _read_admin_address),
     _Part("accept_fd", "inherited_listener_fd", _read_listener_fd),
     _Part("peer_listen", "membership_address", _read_membership_address),
--- a/sidecar_balancer/config/sidecar.py
+++ b/sidecar_balancer/config/sidecar.py
@@ -40,7 +40,7 @@
     initial_endpoints: ListUpdate
     memory_mb: int = 64
     overrides_folder: Path = Path()  # folder of the operator overrides, which outlive this process
-    request_ids_folder: Path | None = None  # shared by both processes of an upgrade
+    shared_folder: Path | None = None  # shared by both processes of an upgrade
     admin_address: Address | None = None
     inherited_listener_fd: int | None = None  # the listening socket, if the platform holds it
     membership_address: Address | None = None  # address that receives peers' datagrams
--- a/sidecar_balancer/downstream/acceptor.py
+++ b/sidecar_balancer/downstream/acceptor.py
@@ -9,6 +9,7 @@
 
 from sidecar_balancer.addresses import Address
 from sidecar_balancer.downstream.connection_table import NO_WAIT, CapacityWait
+from sidecar_balancer.downstream.refusals import Refusals
 from sidecar_balancer.runtime.queueing import BacklogAge, PollTimes
 from sidecar_balancer.runtime.sockets import is_readable
 
@@ -16,6 +17,7 @@
 
 _LISTEN_BACKLOG = 512
 _MAX_ACCEPTS_PER_TURN = 16  # lets other sockets, such as the admin server's, be served in each turn
+_MAX_QUEUE_S = 0.5  # time after which waiting connections are refused if no room can be made
 _ACCEPT_PAUSE_S = 0.02  # avoids a busy loop at the limit, and lets input be read
 
 
@@ -66,6 +68,7 @@
         self._backlog = BacklogAge(_LISTEN_BACKLOG)
         self._poll_times = poll_times
         self._handler = handler
+        self._refusals = Refusals()
         self._is_accepting = False
         self._full_since: float | None = None  # start of the wait for capacity; None: nobody waits
         self._last_accepted_at = 0.0
@@ -92,6 +95,7 @@
             if self._is_accepting:
                 self.pause()
             self._sock.close()
+            self._refusals.close()
 
     def _accept_waiting(self) -> bool:
         """Accept connections; return whether more may be waiting."""
@@ -105,6 +109,7 @@
                     self._record_emptied()
                     return False
                 if not self._handler.ensure_capacity(wait):
+                    self._refuse_waiting(wait)
                     self._pause_for_resources(unread_since, now)
                     return False
             try:
@@ -123,6 +128,20 @@
         self._backlog.record_remaining(unread_since, now)
         return True
 
+    def _refuse_waiting(self, wait: CapacityWait) -> None:
+        """Refuse connections that have waited for long, as nothing says when there will be room for them."""
+        while wait.queued_s >= _MAX_QUEUE_S and not self._refusals.is_full():
+            try:
+                sock, _ = self._sock.accept()
+            except OSError:
+                return
+            self._refusals.refuse(sock)
+
+    @property
+    def refusals(self) -> int:
+        """The number of connections that were refused."""
+        return self._refusals.count
+
     def _record_emptied(self) -> None:
         self._backlog.record_emptied()
         self._full_since = None
--- a/sidecar_balancer/downstream/frontend.py
+++ b/sidecar_balancer/downstream/frontend.py
@@ -31,6 +31,7 @@
         evictions: The number of connections that were evicted for new ones.
         draining: Whether each response is the last one of its connection.
         handler: The handler of the requests.
+        max_connections: The maximum number of connections.
         poll_times: The times at which the event loop polled its sockets.
         settings: The service classes and tenants.
     """
@@ -67,7 +68,7 @@
         self.handler = handler
         self.poll_times = poll_times or PollTimes(math.inf)
         self.settings = settings
-        self._max_connections = max_connections
+        self.max_connections = max_connections
         self._victims: Iterator[ClientConnection] = iter(())
         self._victims_wait: CapacityWait | None = None  # the wait that they were chosen for
         self._open_tasks: set[asyncio.Task[None]] = set()
@@ -84,7 +85,7 @@
 
     def is_full(self) -> bool:
         """Return whether the limit on connections is reached."""
-        return len(self.connections) + len(self._opening) >= self._max_connections
+        return len(self.connections) + len(self._opening) >= self.max_connections
 
     def is_opening(self) -> bool:
         """Return whether accepted connections are still being opened, so that their input is unread."""
@@ -103,7 +104,7 @@
         Returns:
             Whether a connection was evicted.
         """
-        if 2 * len(self._opening) >= self._max_connections:
+        if 2 * len(self._opening) >= self.max_connections:
             wait = NO_WAIT  # the input of so many new connections is read before any request is given up
         if wait is not self._victims_wait:
             self._victims_wait = wait
@@ -116,6 +117,12 @@
         self.connections.remove(connection)
         return True
 
+    def shed_excess(self) -> None:
+        """Evict connections beyond the limit on their number that no request in progress needs."""
+        self.accepting_starts()
+        while len(self.connections) > self.max_connections and self.ensure_capacity(NO_WAIT):
+            pass
+
     def connection_accepted(self, sock: socket.socket, established_after: float) -> None:
         """Serve a connection that was established after this time on the event loop's clock."""
         sock.setblocking(False)
@@ -160,6 +167,11 @@
             if connection.is_idle() and (connection.has_served or not only_used):
                 connection.close()
 
+    @property
+    def refusals(self) -> int:
+        """The number of connections that were refused."""
+        return self._acceptor.refusals
+
     def is_empty(self) -> bool:
         """Return whether no connection is left."""
         return not self.connections and not self._open_tasks
--- a/sidecar_balancer/runtime/memory_budget.py
+++ b/sidecar_balancer/runtime/memory_budget.py
@@ -19,7 +19,7 @@
 _BUFFERS_PER_STREAM = 4  # the data read, parsed and waiting to be written, and copies between these stages
 _STREAM_SHARE = 8  # part of the memory limit for streams
 _DEFAULT_MEMORY_MB = 64
-_PROGRAM_BYTES = 21 * 1024 * 1024  # resident memory of a sidecar without connections
+PROGRAM_BYTES = 21 * 1024 * 1024  # resident memory of a sidecar without connections
 _USABLE_RATIO = 0.4  # the rest is for fragmentation, and for objects that live for one turn of the event loop
 _MIN_TOTAL_BYTES = 1024 * 1024
 
@@ -46,7 +46,7 @@
         self.active_streams = 0
         self.used_bytes = 0
         self._total_bytes = 0
-        self.set_other_bytes(_PROGRAM_BYTES)
+        self.set_other_bytes(PROGRAM_BYTES)
 
     def set_other_bytes(self, other_bytes: int) -> None:
         """Set how much of the limit is taken by other things: this program, and another process."""
--- a/sidecar_balancer/sidecar/sidecar.py
+++ b/sidecar_balancer/sidecar/sidecar.py
@@ -29,10 +29,12 @@
 from sidecar_balancer.proxy.proxy import Proxy
 from sidecar_balancer.runtime.engine import Engine
 from sidecar_balancer.runtime.memory_budget import MemoryBudget
+from sidecar_balancer.runtime.process_usage import RENEWAL_INTERVAL_S, UsageExchange
 from sidecar_balancer.runtime.queueing import PollTimes, running_poll_times
 from sidecar_balancer.runtime.request_ids import RequestIds
 from sidecar_balancer.runtime.timers import Timers
 from sidecar_balancer.sidecar.endpoint_updates import EndpointUpdates
+from sidecar_balancer.sidecar.limit_sharing import RESERVED_DESCRIPTORS, LimitSharing
 from sidecar_balancer.sidecar.membership_setup import create_membership
 from sidecar_balancer.sidecar.shutdown import drain_clients
 from sidecar_balancer.sidecar.state_persistence import create_state_persistence
@@ -48,7 +50,6 @@
 _OVERRIDES_POLL_INTERVAL_S = 0.1  # interval between checks for overrides that another process has stored
 _WATCH_RESTART_RATIO = 2.5  # multiple of the poll interval after which an ended watch restarts by itself
 _PUSH_RETRY_DELAY_S = 0.5  # delay after a failed call to the agent that pushes endpoint lists
-_RESERVED_DESCRIPTORS = 64  # descriptors kept free for discovery, logs and the interpreter
 
 
 class Sidecar:
@@ -76,14 +77,14 @@
         self.engine = Engine(settings, config.seed, self._timers)
         memory_budget = MemoryBudget(config.memory_mb)
         # The limit applies to client connections and to server connections separately.
-        max_connections = memory_budget.connection_limit(config.max_sockets, _RESERVED_DESCRIPTORS)
+        max_connections = memory_budget.connection_limit(config.max_sockets, RESERVED_DESCRIPTORS)
         poll_times = running_poll_times()
         limits = settings.limits
         self.endpoint_pool = EndpointPool(
             limits.dial_timeout_us / 1e6, limits.idle_close_us / 1e6, max_connections, memory_budget
         )
         self.discovery = self._create_discovery(config, poll_times)
-        self._request_ids = RequestIds(config.request_ids_folder)
+        self._request_ids = RequestIds(config.shared_folder)
         latencies = _create_latency_histograms(config)
         self.proxy = Proxy(settings, self.engine, self.endpoint_pool, latencies, self._request_ids)
         self.frontend = Frontend(
@@ -95,6 +96,13 @@
             memory_budget,
             poll_times,
         )
+        self._limit_sharing = LimitSharing(
+            UsageExchange(config.shared_folder),
+            memory_budget,
+            config.max_sockets,
+            self.frontend,
+            self.endpoint_pool,
+        )
         self._is_takeover = config.inherited_listener_fd is not None
         self._membership = create_membership(config, self.engine)
         self._state_persistence = create_state_persistence(config)
@@ -160,6 +168,7 @@
             self.engine.handle(EndpointListReceived(ListKind.SOURCE_CHANGED))
 
     async def _start(self, stop: asyncio.Event) -> None:
+        self._timers.call_every(RENEWAL_INTERVAL_S, self._limit_sharing.refresh)
         if self.admin_server is not None:
             # Applied before the first request, because overrides outlast the process that accepted them.
             self._timers.call_every(_OVERRIDES_POLL_INTERVAL_S, self.admin_handlers.apply_stored_overrides)
@@ -189,6 +198,7 @@
         await self.endpoint_pool.close()
         self._timers.close()
         self._request_ids.close()
+        self._limit_sharing.close()
         if self.admin_server is not None:
             self.admin_server.stop()
         if self._membership is not None:
--- a/sidecar_balancer/sidecar/status_log.py
+++ b/sidecar_balancer/sidecar/status_log.py
@@ -62,7 +62,7 @@
         self._logged_cpu_s += cpu_s
         log.info(
             "responses %s; %d client connections, %d in flight, %d server connections, %.2f s of CPU; "
-            "peers hold %d of %d KiB, %.1f MiB resident, %d connections evicted; %s",
+            "peers hold %d of %d KiB, %.1f MiB resident, %d connections evicted, %d refused; %s",
             ", ".join(f"{count} x {status}" for status, count in new_responses.items()),
             len(self._frontend.connections),
             len(self._proxy.by_client_request),
@@ -72,6 +72,7 @@
             memory_budget.total_bytes // 1024,
             resident_bytes() / 2**20,
             self._frontend.evictions,
+            self._frontend.refusals,
             state_summary(self._balancer),
             extra={"event": "state", "answered": new_responses},
         )
--- a/sidecar_balancer/upstream/endpoint_pool.py
+++ b/sidecar_balancer/upstream/endpoint_pool.py
@@ -27,7 +27,12 @@
 
 
 class EndpointPool:
-    """All connections to servers, with a limit on their number."""
+    """All connections to servers, with a limit on their number.
+
+    Attributes:
+        endpoints: The servers by name.
+        max_connections: The maximum number of connections, including those being dialed.
+    """
 
     def __init__(
         self,
@@ -47,7 +52,7 @@
         self._memory_budget = memory_budget or MemoryBudget()
         self._dial_timeout_s = dial_timeout_s
         self._idle_timeout_s = idle_timeout_s * (1.0 - _IDLE_MARGIN_RATIO)
-        self._max_connections = max_connections
+        self.max_connections = max_connections
         self._dial_tasks: set[asyncio.Task[None]] = set()
         self._open: set[ServerConnection] = set()  # connections in use or idle, without those being dialed
         self._closed = False
@@ -235,8 +240,16 @@
 
     def _ensure_capacity(self) -> bool:
         """Make room for one more connection, closing an idle one if needed; return whether that succeeded."""
-        if self.open_count < self._max_connections:
-            return True
+        return self.open_count < self.max_connections or self._close_one_idle()
+
+    def shed_excess(self) -> None:
+        """Close idle connections beyond the limit on the number of all."""
+        excess = self.open_count - self.max_connections
+        while excess > 0 and self._close_one_idle():
+            excess -= 1
+
+    def _close_one_idle(self) -> bool:
+        """Close the longest idle connection of the server that has most of them; False if there is none."""
         with_idle = [endpoint for endpoint in self.endpoints.values() if endpoint.idle]
         if not with_idle:
             return False
--- a/tests/support/sidecar_process.py
+++ b/tests/support/sidecar_process.py
@@ -118,11 +118,13 @@
         before_mb: At the start of the measurement.
         peak_mb: The highest of its samples.
         after_mb: The latest sample.
+        descriptors: The most descriptors in a sample.
     """
 
     before_mb: float = 0.0
     peak_mb: float = 0.0
     after_mb: float = 0.0
+    descriptors: int = 0
 
 
 class SidecarProcess:
@@ -226,6 +228,14 @@
                 total += pages * os.sysconf("SC_PAGE_SIZE")
         return total / 2**20
 
+    def descriptors_now(self) -> int:
+        """Return the open descriptors of all processes."""
+        total = 0
+        for process in self.processes:
+            with contextlib.suppress(OSError):
+                total += sum(1 for _ in Path(f"/proc/{process.pid}/fd").iterdir())
+        return total
+
     @contextlib.asynccontextmanager
     async def measured(self) -> AsyncIterator[MemoryUse]:
         """Sample the memory for the length of the block."""
@@ -236,6 +246,7 @@
             while True:
                 use.after_mb = self.memory_mb_now()
                 use.peak_mb = max(use.peak_mb, use.after_mb)
+                use.descriptors = max(use.descriptors, self.descriptors_now())
                 await asyncio.sleep(0.01)
 
         task = asyncio.create_task(sample())
