--- /dev/null
+++ b/tests/runtime/test_request_ids.py
@@ -0,0 +1,75 @@
+"""Ids that may have run, in one process and in both of an upgrade."""
+
+from __future__ import annotations
+
+import random
+from pathlib import Path
+
+import pytest
+
+from sidecar_balancer.runtime import request_ids
+from sidecar_balancer.runtime.request_ids import ClaimsExhaustedError, RequestIds
+
+
+class FakeClock:
+    """Monotonic seconds that a test sets."""
+
+    now = 1_000.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+@pytest.mark.parametrize("is_shared", [False, True])
+def test_an_id_is_claimed_once_until_it_is_released(is_shared: bool, tmp_path: Path) -> None:
+    ids = RequestIds(tmp_path if is_shared else None)
+    assert ids.claim("a")
+    assert not ids.claim("a")
+    assert ids.claim("b")
+    ids.release("a")
+    ids.release("a")
+    assert ids.claim("a")
+    assert not ids.claim("b")
+    ids.close()
+
+
+def test_the_other_process_knows_a_claim_and_so_does_a_later_one(tmp_path: Path) -> None:
+    first, second = RequestIds(tmp_path), RequestIds(tmp_path)
+    assert first.claim("a")
+    assert not second.claim("a")
+    first.close()
+    second.close()
+    assert not RequestIds(tmp_path).claim("a")
+
+
+def test_ids_are_kept_in_this_process_where_the_folder_can_not_be_written(tmp_path: Path) -> None:
+    ids = RequestIds(tmp_path / "missing")
+    assert ids.claim("a")
+    assert not ids.claim("a")
+
+
+def test_a_full_table_refuses_and_forgets_no_recent_claim(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(request_ids, "_SETS", 1)
+    clock = FakeClock()
+    ids = RequestIds(None, clock)
+    names = [f"id-{number}" for number in range(16)]
+    assert all(ids.claim(name) for name in names)
+    with pytest.raises(ClaimsExhaustedError):
+        ids.claim("one more")
+    assert not any(ids.claim(name) for name in names)
+    clock.now += 31.0
+    assert ids.claim("one more")
+    assert sum(not ids.claim(name) for name in names[1:]) == 15
+
+
+def test_any_order_of_claims_and_releases_agrees_with_a_set() -> None:
+    rng = random.Random(7)
+    ids, claimed = RequestIds(), set[str]()
+    for _ in range(5_000):
+        name = f"id-{rng.randrange(300)}"
+        if rng.random() < 0.3:
+            ids.release(name)
+            claimed.discard(name)
+        else:
+            assert ids.claim(name) == (name not in claimed)
+            claimed.add(name)
