--- a/sidecar_balancer/runtime/memory_budget.py
+++ b/sidecar_balancer/runtime/memory_budget.py
@@ -9,8 +9,8 @@
 import h11
 
 MAX_BUFFERED_BODY_BYTES = 64 * 1024  # bodies up to this size are buffered, so that the request can be retried
-CONNECTION_BYTES = 5 * 1024  # the objects of an open connection, of either side
-REQUEST_BYTES = 5 * 1024  # the objects of a request in flight, beside its head and body
+CONNECTION_BYTES = 4 * 1024  # the objects of an open connection, of either side
+REQUEST_BYTES = 4 * 1024  # the objects of a request in flight, beside its head and body
 FIELD_BYTES = 320  # the objects of one parsed header field, beside its text
 _MAX_READ_BYTES = 64 * 1024
 _MIN_READ_BYTES = 4 * 1024
@@ -20,7 +20,7 @@
 _STREAM_SHARE = 8  # part of the memory limit for streams
 _DEFAULT_MEMORY_MB = 64
 PROGRAM_BYTES = 21 * 1024 * 1024  # resident memory of a sidecar without connections
-_USABLE_RATIO = 0.4  # the rest is for fragmentation, and for objects that live for one turn of the event loop
+_USABLE_RATIO = 0.5  # the rest is for fragmentation, and for objects that live for one turn of the event loop
 _MIN_TOTAL_BYTES = 1024 * 1024
 
 
