--- a/sidecar_balancer/downstream/acceptor.py
+++ b/sidecar_balancer/downstream/acceptor.py
@@ -17,7 +17,7 @@
 
 _LISTEN_BACKLOG = 512
 _MAX_ACCEPTS_PER_TURN = 16  # lets other sockets, such as the admin server's, be served in each turn
-_MAX_QUEUE_S = 0.5  # time after which waiting connections are refused if no room can be made
+_MAX_QUEUE_S = 0.5  # time for which connections wait for room, after which they may be refused
 _ACCEPT_PAUSE_S = 0.02  # avoids a busy loop at the limit, and lets input be read
 
 
@@ -129,7 +129,7 @@
         return True
 
     def _refuse_waiting(self, wait: CapacityWait) -> None:
-        """Refuse connections that have waited for long, as nothing says when there will be room for them."""
+        """Refuse those that wait if there has been too little room for long."""
         while wait.queued_s >= _MAX_QUEUE_S and not self._refusals.is_full():
             try:
                 sock, _ = self._sock.accept()
--- a/tests/limits/test_departed_clients.py
+++ b/tests/limits/test_departed_clients.py
@@ -18,7 +18,7 @@
 
 async def leave_during_execution(sidecar: SidecarProcess, service_class: str) -> bytes:
     """Send a request, leave once a server executes it, and return it."""
-    sent = request(service_class, path="/api/hang", budget="1.0")
+    sent = request(service_class, path="/api/hang", budget="1.0", X_Call_Id=ID)
     _, writer = await asyncio.open_connection(*sidecar.address)
     writer.write(sent)
     await wait_until(lambda: sidecar.executed()[ID])
@@ -58,7 +58,7 @@
 @scenario
 async def test_an_id_that_was_answered_is_not_run_again(tmp_path: Path) -> None:
     async with running_process(tmp_path) as sidecar:
-        sent = request("pay", path="/api/ok")
+        sent = request("pay", path="/api/ok", X_Call_Id=ID)
         assert await send_again(sidecar, sent) == 200
         assert await send_again(sidecar, sent) == 409
         assert sidecar.executed()[ID] == 1
