Name the files that processes share by the sidecar's address, and use $TMPDIR alone

Cause: without $TMPDIR the ids and the usage went to the system's temporary folder, where sidecars that have nothing to do with each other would have met: one would have taken the others' memory for that of an upgrade. Change: both files are used only in the $TMPDIR of the platform, under the address that both processes of an upgrade listen on. The methods of HeadBuffer that remove bytes are called pop.

--- a/sidecar_balancer/config/loading.py
+++ b/sidecar_balancer/config/loading.py
@@ -94,6 +94,11 @@
 
         return Path(tempfile.gettempdir())
 
+    def private_folder(self) -> Path | None:
+        """Return the folder that the platform gives this sidecar alone; None outside the platform."""
+        folder = self.environ.get("TMPDIR")
+        return Path(folder) if folder else None
+
 
 class _Part(NamedTuple):
     """A part of the configuration: its name in error messages, its SidecarConfig field and its reader."""
@@ -184,7 +189,7 @@
     _Part("locality", "locality", lambda source: read_locality(source.raw_config.get("locality"))),
     _Part("known", "initial_endpoints", _read_initial_endpoints),
     _Part("orders", "overrides_folder", _Source.temporary_folder),
-    _Part("shared", "shared_folder", _Source.temporary_folder),
+    _Part("shared", "shared_folder", _Source.private_folder),
     _Part("mgmt", "admin_address", _read_admin_address),
     _Part("accept_fd", "inherited_listener_fd", _read_listener_fd),
     _Part("peer_listen", "membership_address", _read_membership_address),
--- a/sidecar_balancer/downstream/client_connection.py
+++ b/sidecar_balancer/downstream/client_connection.py
@@ -237,10 +237,10 @@
     def _feed_parser(self) -> bool:
         """Pass the next part of the input to the parser; return whether there was any."""
         if self._head is not None:
-            data = self._input.take_piece(is_chunked(self._head.headers))
+            data = self._input.pop_piece(is_chunked(self._head.headers))
         else:
             try:
-                data = self._input.take_head()
+                data = self._input.pop_head()
             except HeadTooLargeError as error:
                 raise RequestError(400, str(error)) from None
         if data:
--- a/sidecar_balancer/runtime/head_buffer.py
+++ b/sidecar_balancer/runtime/head_buffer.py
@@ -51,7 +51,7 @@
         """Return whether a head is whole once these bytes follow."""
         return _HEAD_END.search(bytes(self._data[-2:]) + following) is not None
 
-    def take_head(self) -> bytes:
+    def pop_head(self) -> bytes:
         """Remove and return a whole head; b"" while it is partial.
 
         Input that can't begin a head is returned at once, for the parser to reject.
@@ -62,7 +62,7 @@
         if not self._data:
             return b""
         if self._data[0] < _FIRST_TOKEN_BYTE:
-            return self._take(len(self._data))
+            return self._pop(len(self._data))
         end = _HEAD_END.search(self._data, self._searched, MAX_HEAD_BYTES)
         if end is None:
             self._searched = max(len(self._data) - 2, 0)
@@ -71,17 +71,17 @@
             return b""
         if self._data.count(b"\n", 0, end.end()) > MAX_HEAD_FIELDS + 2:
             raise HeadTooLargeError(f"the head has more than {MAX_HEAD_FIELDS} fields")
-        return self._take(end.end())
+        return self._pop(end.end())
 
-    def take_piece(self, is_chunked: bool) -> bytes:
+    def pop_piece(self, is_chunked: bool) -> bytes:
         """Remove and return the next piece of a body; b"" if there is none."""
         most = MAX_CHUNKS_PIECE_BYTES if is_chunked else MAX_BODY_PIECE_BYTES
-        return self._take(min(len(self._data), most))
+        return self._pop(min(len(self._data), most))
 
-    def _take(self, size: int) -> bytes:
-        taken = bytes(self._data[:size])
+    def _pop(self, size: int) -> bytes:
+        popped = bytes(self._data[:size])
         del self._data[:size]
         self._searched = 0
         if not self._data:
             self._data = bytearray()  # gives up the capacity of a long input
-        return taken
+        return popped
--- a/sidecar_balancer/runtime/process_usage.py
+++ b/sidecar_balancer/runtime/process_usage.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-FOLDER_NAME = "process-usage-1"  # the number changes with the form of a record
+_FOLDER_PREFIX = "process-usage-1"  # the number changes with the form of a record
 RENEWAL_INTERVAL_S = 0.1
 _MAX_AGE_S = 1.0
 _RECORD = struct.Struct("=dQQQQ")  # monotonic time in seconds, then the fields of ProcessUsage
@@ -48,9 +48,11 @@
 class UsageExchange:
     """Publishes this process's usage and reads that of the others; without a folder there are no others."""
 
-    def __init__(self, folder: Path | None, monotonic_s: Callable[[], float] = time.monotonic) -> None:
-        """Use a folder that all processes of the sidecar share."""
-        self._folder = None if folder is None else folder / FOLDER_NAME
+    def __init__(
+        self, folder: Path | None, name: str = "", monotonic_s: Callable[[], float] = time.monotonic
+    ) -> None:
+        """Use a folder that all processes of the sidecar share, under a name that is its own."""
+        self._folder = None if folder is None else folder / f"{_FOLDER_PREFIX}{name}"
         self._own_name = str(os.getpid())
         self._monotonic_s = monotonic_s
 
--- a/sidecar_balancer/runtime/request_ids.py
+++ b/sidecar_balancer/runtime/request_ids.py
@@ -18,7 +18,7 @@
 
 log = logging.getLogger(__name__)
 
-FILE_NAME = "request-ids-1"  # the number changes with the layout
+_FILE_PREFIX = "request-ids-1"  # the number changes with the layout
 _SLOTS_PER_SET = 16
 _SETS = 2048
 _SLOTS = _SETS * _SLOTS_PER_SET
@@ -38,19 +38,21 @@
 class RequestIds:
     """The ids that may have run; a claimed id is not sent to a server by any other request."""
 
-    def __init__(self, folder: Path | None = None, monotonic_s: Callable[[], float] = time.monotonic) -> None:
-        """Map the table in `folder`, or one of this process alone if there is none."""
+    def __init__(
+        self, folder: Path | None = None, name: str = "", monotonic_s: Callable[[], float] = time.monotonic
+    ) -> None:
+        """Map the table of this name in `folder`, or one of this process alone without a folder."""
         self._monotonic_s = monotonic_s
         self._file: int | None = None
-        self._table = self._map(folder)
+        self._table = self._map(folder, name)
         view = memoryview(self._table)
         self._hashes = view[: _SLOTS * _HASH_BYTES].cast("Q")
         self._times = view[_SLOTS * _HASH_BYTES :].cast("I")
 
-    def _map(self, folder: Path | None) -> mmap.mmap:
+    def _map(self, folder: Path | None, name: str) -> mmap.mmap:
         if folder is not None:
             try:
-                self._file = _open_table(folder / FILE_NAME)
+                self._file = _open_table(folder / f"{_FILE_PREFIX}{name}")
                 return mmap.mmap(self._file, _FILE_BYTES)
             except OSError as error:
                 extra = {"event": "request_ids_not_shared"}
--- a/sidecar_balancer/sidecar/sidecar.py
+++ b/sidecar_balancer/sidecar/sidecar.py
@@ -84,7 +84,7 @@
             limits.dial_timeout_us / 1e6, limits.idle_close_us / 1e6, max_connections, memory_budget
         )
         self.discovery = self._create_discovery(config, poll_times)
-        self._request_ids = RequestIds(config.shared_folder)
+        self._request_ids = RequestIds(config.shared_folder, _file_suffix(config))
         latencies = _create_latency_histograms(config)
         self.proxy = Proxy(settings, self.engine, self.endpoint_pool, latencies, self._request_ids)
         self.frontend = Frontend(
@@ -97,7 +97,7 @@
             poll_times,
         )
         self._limit_sharing = LimitSharing(
-            UsageExchange(config.shared_folder),
+            UsageExchange(config.shared_folder, _file_suffix(config)),
             memory_budget,
             config.max_sockets,
             self.frontend,
@@ -279,6 +279,11 @@
         log.info("%s", action.text, extra={"event": action.name, subject_key: action.subject})
 
 
+def _file_suffix(config: SidecarConfig) -> str:
+    """Return a suffix for files that both processes of an upgrade share, but no other sidecar."""
+    return "-{}-{}".format(*config.listen).replace("/", "_").replace(":", "_")
+
+
 async def _wait_for_either(first: asyncio.Event, second: asyncio.Event, timeout_s: float) -> None:
     tasks = [asyncio.ensure_future(event.wait()) for event in (first, second)]
     await asyncio.wait(tasks, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED)
--- a/sidecar_balancer/upstream/server_connection.py
+++ b/sidecar_balancer/upstream/server_connection.py
@@ -78,7 +78,7 @@
 
     def _receive_end(self) -> None:
         try:
-            if rest := self._input.take_piece(is_chunked=True):  # of a head that has no end
+            if rest := self._input.pop_piece(is_chunked=True):  # of a head that has no end
                 self._h11.receive_data(rest)
             self._h11.receive_data(b"")
         except h11.RemoteProtocolError as error:
@@ -89,9 +89,9 @@
     def _feed_parser(self) -> bool:
         """Pass the next part of the input to the parser; return whether there was any."""
         if self._response_head is None:
-            data = self._input.take_head()
+            data = self._input.pop_head()
         else:
-            data = self._input.take_piece(is_chunked(self._response_head.headers))
+            data = self._input.pop_piece(is_chunked(self._response_head.headers))
         if data:
             self._h11.receive_data(data)
         return bool(data)
--- a/tests/runtime/test_process_usage.py
+++ b/tests/runtime/test_process_usage.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from sidecar_balancer.runtime.process_usage import FOLDER_NAME, ProcessUsage, UsageExchange
+from sidecar_balancer.runtime.process_usage import ProcessUsage, UsageExchange
 
 
 def test_processes_see_the_sum_of_the_others_until_they_end(
@@ -17,7 +17,7 @@
     exchanges = []
     for pid in (101, 102, 103):
         monkeypatch.setattr(os, "getpid", lambda pid=pid: pid)
-        exchanges.append(UsageExchange(tmp_path, lambda: now[0]))
+        exchanges.append(UsageExchange(tmp_path, monotonic_s=lambda: now[0]))
     for exchange in exchanges:
         exchange.publish(ProcessUsage(1, 20, 3, 4))
     assert exchanges[0].others() == ProcessUsage(2, 40, 6, 8)
@@ -31,7 +31,7 @@
 def test_a_record_that_was_cut_short_counts_nothing(tmp_path: Path) -> None:
     exchange = UsageExchange(tmp_path)
     exchange.publish(ProcessUsage(1, 1, 1, 1))
-    (tmp_path / FOLDER_NAME / "7").write_bytes(b"cut")
+    (next(tmp_path.iterdir()) / "7").write_bytes(b"cut")
     assert exchange.others() == ProcessUsage()
 
 
--- a/tests/runtime/test_request_ids.py
+++ b/tests/runtime/test_request_ids.py
@@ -51,7 +51,7 @@
 def test_a_full_table_refuses_and_forgets_no_recent_claim(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(request_ids, "_SETS", 1)
     clock = FakeClock()
-    ids = RequestIds(None, clock)
+    ids = RequestIds(monotonic_s=clock)
     names = [f"id-{number}" for number in range(16)]
     assert all(ids.claim(name) for name in names)
     with pytest.raises(ClaimsExhaustedError):
@@ -73,3 +73,9 @@
         else:
             assert ids.claim(name) == (name not in claimed)
             claimed.add(name)
+
+
+def test_sidecars_with_names_of_their_own_share_nothing(tmp_path: Path) -> None:
+    assert RequestIds(tmp_path, "-a").claim("id")
+    assert RequestIds(tmp_path, "-b").claim("id")
+    assert not RequestIds(tmp_path, "-a").claim("id")
