--- a/sidecar_balancer/upstream/server_connection.py
+++ b/sidecar_balancer/upstream/server_connection.py
@@ -318,5 +318,6 @@
         """Close at once, discarding unwritten data."""
         self.reusable = False
         self._end_bodies(False)
+        self._input.clear()  # the transport reports its end in the next turn only
         if self._transport is not None:
             self._transport.abort()
