Say what the memory budget counts, and put a comment on a line of its own

Change: comments only. Measured: lint, types, and the tests of drains, shutdown and the frontend passed.

--- a/sidecar_balancer/downstream/frontend.py
+++ b/sidecar_balancer/downstream/frontend.py
@@ -26,7 +26,7 @@
 
     Attributes:
         address: The address that it listens on.
-        memory_budget: The memory that bodies are counted in.
+        memory_budget: The budget that connections charge what they hold to.
         connections: The connections that are served, the least recently active first.
         evictions: The number of connections that were evicted for new ones.
         draining: Whether each response is the last one of its connection.
@@ -54,7 +54,7 @@
             handler: The handler of the requests.
             settings: The service classes and tenants.
             listen_fd: The descriptor of an inherited listening socket.
-            memory_budget: The memory that bodies are counted in.
+            memory_budget: The budget that connections charge what they hold to.
             poll_times: The times at which the event loop polled its sockets; without them, input never counts
                 as delayed.
 
--- a/sidecar_balancer/downstream/response_connection.py
+++ b/sidecar_balancer/downstream/response_connection.py
@@ -37,7 +37,7 @@
     """The context that all client connections share.
 
     Attributes:
-        memory_budget: The memory that bodies are counted in.
+        memory_budget: The budget that connections charge what they hold to.
         draining: Whether each response is the last one of its connection.
         handler: The handler of the requests.
         poll_times: The times at which the event loop polled its sockets.
@@ -99,9 +99,8 @@
         self._response_written()
 
     def _response_head(self, status: int, headers: Headers) -> h11.Response:
-        is_last = (
-            self._owner.draining and not self._input.has_head()
-        )  # what was read behind it is answered as well
+        # A request that was read behind this one is answered as well.
+        is_last = self._owner.draining and not self._input.has_head()
         if is_last or not self._request_was_read():
             headers.append((b"Connection", b"close"))
         return h11.Response(status_code=status, headers=headers, reason=_REASON_PHRASES.get(status, b""))
