--- a/tests/runtime/test_request_ids.py
+++ b/tests/runtime/test_request_ids.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
+import os
 import random
+import signal
+import subprocess
+import sys
+import threading
+import time
 from pathlib import Path
 
 import pytest
@@ -11,6 +17,17 @@
 from sidecar_balancer.runtime.request_ids import ClaimsExhaustedError, RequestIds
 
 
+CLAIM_FOREVER = """
+import itertools, pathlib, sys
+from sidecar_balancer.runtime.request_ids import RequestIds
+ids = RequestIds(pathlib.Path(sys.argv[1]))
+print("ready", flush=True)
+for number in itertools.count():
+    ids.claim(f"other-{number % 10_000}")
+"""
+WAIT_S = 5.0
+
+
 class FakeClock:
     """Monotonic seconds that a test sets."""
 
@@ -79,3 +96,26 @@
     assert RequestIds(tmp_path, "-a").claim("id")
     assert RequestIds(tmp_path, "-b").claim("id")
     assert not RequestIds(tmp_path, "-a").claim("id")
+
+
+def test_a_process_stopped_at_any_moment_keeps_no_other_from_claiming(tmp_path: Path) -> None:
+    ids = RequestIds(tmp_path)
+    command = [sys.executable, "-c", CLAIM_FOREVER, str(tmp_path)]
+    environ = os.environ | {"PYTHONPATH": str(Path(__file__).parent.parent.parent)}
+    rng = random.Random(3)
+    with subprocess.Popen(command, env=environ, stdout=subprocess.PIPE) as other:
+        try:
+            assert other.stdout is not None
+            assert other.stdout.readline()
+            for number in range(20):
+                time.sleep(0.01 * rng.random())
+                other.send_signal(signal.SIGSTOP)
+                os.waitid(os.P_PID, other.pid, os.WSTOPPED)
+                assert ids.claim(f"own-{number}")
+                opening = threading.Thread(target=RequestIds, args=(tmp_path,), daemon=True)
+                opening.start()
+                opening.join(WAIT_S)
+                assert not opening.is_alive()
+                other.send_signal(signal.SIGCONT)
+        finally:
+            other.kill()
--- a/tests/support/sidecar_process.py
+++ b/tests/support/sidecar_process.py
@@ -134,6 +134,10 @@
         address: The address that it listens on for clients.
         servers: The servers in its endpoint list.
         processes: The processes, in the order of their start; two during an upgrade.
+        admin_addresses: The addresses of their admin servers.
+        config_changes: Keys of the configuration that replace the usual ones.
+        program: The words of the command in place of the module `sidecar_balancer`; empty: the module.
+        log_pipe: The descriptor for the processes' standard error; None: a file in the folder.
     """
 
     def __init__(self, folder: Path, memory_mb: int, sockets: int) -> None:
@@ -143,7 +147,11 @@
         self.sockets = sockets
         self.servers = [ScriptedServer(f"s-{number}") for number in range(SERVERS)]
         self.processes: list[asyncio.subprocess.Process] = []
+        self.admin_addresses: list[Address] = []
         self.settings = SETTINGS
+        self.config_changes: dict[str, Any] = {}
+        self.program: list[str] = []
+        self.log_pipe: int | None = None
         self._listener = socket.socket()
         self._admin_host = new_host()
 
@@ -160,6 +168,7 @@
         """Start one more process on the same listening socket, and wait until it says that it is ready."""
         admin = free_addresses(self._admin_host, 1)[0]
         number = len(self.processes)
+        self.admin_addresses.append(admin)
         path = self.folder / f"config{number}.json"
         path.write_text(json.dumps(self._config(admin)), encoding="utf-8")
         temporary = self.folder / "tmp"
@@ -169,11 +178,11 @@
         environ |= {"RELAY_ACCEPT_FD": str(self._listener.fileno())}
         with (self.folder / f"log{number}").open("wb") as log:
             process = await asyncio.create_subprocess_exec(
-                *program_command(ROOT),
+                *self._command(),
                 cwd=ROOT,
                 env=environ,
                 pass_fds=(self._listener.fileno(),),
-                stderr=log,
+                stderr=log if self.log_pipe is None else self.log_pipe,
             )
         self.processes.append(process)
         async with asyncio.timeout(READY_TIMEOUT_S):
@@ -181,6 +190,10 @@
                 await asyncio.sleep(0.05)
         return process
 
+    def _command(self) -> list[str]:
+        command = program_command(ROOT)
+        return [*command[: command.index("-m")], *self.program] if self.program else command
+
     def _config(self, admin: Address) -> dict[str, Any]:
         entries = [
             {"name": each.name, "address": format_address(each.address), "zone": "east", "type": "m"}
@@ -196,7 +209,7 @@
             "limits": {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": self.sockets},
             "known": {"index": 1, "snapshot": True, "endpoints": entries},
             "settings": self.settings,
-        }
+        } | self.config_changes
 
     @staticmethod
     async def _is_ready(admin: Address) -> bool:
@@ -263,11 +276,18 @@
 
 @contextlib.asynccontextmanager
 async def running_process(
-    folder: Path, memory_mb: int = 32, sockets: int = 1024, settings: dict[str, Any] = SETTINGS
+    folder: Path,
+    memory_mb: int = 32,
+    sockets: int = 1024,
+    settings: dict[str, Any] = SETTINGS,
+    program: list[str] | None = None,
+    log_pipe: int | None = None,
+    **config_changes: Any,
 ) -> AsyncIterator[SidecarProcess]:
     """Run a sidecar process with these limits; end it on exit."""
     sidecar = SidecarProcess(folder, memory_mb, sockets)
-    sidecar.settings = settings
+    sidecar.settings, sidecar.config_changes = settings, config_changes
+    sidecar.program, sidecar.log_pipe = program or [], log_pipe
     try:
         await sidecar.open()
         yield sidecar
