Keep a request in the input until its connection goes on after the last response

Cause, by a trace with the queue of turns held: since a connection waits for its turn between the end of a response and the renewal of its parser. A request that arrived meanwhile was given to the parser, which was done and only stored it. The renewed parser kept it, the buffer was empty, so the connection counted as idle: nobody parsed the request, and eviction, a drain or the close of idle connections ended it. What could be parsed was decided from five flags, none of which told of that state.

Change: the phase of the request is derived from the parser's own states in one place (request_phase.py). Only where the parser awaits or receives a request is it given input, and is_idle, eviction and the renewal ask for the same phase; every call of a later turn that is no longer due does nothing.

--- a/sidecar_balancer/downstream/client_connection.py
+++ b/sidecar_balancer/downstream/client_connection.py
@@ -21,6 +21,7 @@
     check_framing,
     parse_request,
 )
+from sidecar_balancer.downstream.request_phase import RequestPhase
 from sidecar_balancer.downstream.response_connection import ConnectionContext
 from sidecar_balancer.downstream.upload_connection import UploadConnection
 from sidecar_balancer.runtime.errors import RequestError
@@ -95,7 +96,8 @@
 
     def is_idle(self) -> bool:
         """Return whether it may be closed: no request is in flight, partly received or still unread."""
-        is_busy = self._request is not None or self._write_blocked or self._is_partly_received()
+        is_in_progress = self._phase() in (RequestPhase.RECEIVING, RequestPhase.RESPONDING)
+        is_busy = is_in_progress or self._write_blocked or self._is_partly_received()
         return not is_busy and not self.has_unread_input()
 
     # -- Eviction
@@ -109,7 +111,7 @@
         """Return the state that decides whether it is closed at `now` for a new one."""
         if self._transport is None or self._transport.is_closing() or self._write_blocked:
             return EvictionClass.BUSY
-        if self._linger_deadline is None and (self._has_complete_request() or self._reading_paused):
+        if self._has_complete_request() or (self._linger_deadline is None and self._reading_paused):
             return EvictionClass.BUSY
         if self._is_partly_received() and not self._deadline.is_stalled(now, self._head is not None):
             return EvictionClass.RECEIVING
@@ -120,9 +122,8 @@
 
     def _has_complete_request(self) -> bool:
         """Return whether a response is due or has begun, or the input after the last one is unparsed."""
-        if self._source is not None or self._h11.our_state is h11.DONE:
-            return True
-        return self._request is not None and self._upload is None
+        is_complete = self._phase() in (RequestPhase.RESPONDING, RequestPhase.ANSWERED)
+        return is_complete or self._source is not None
 
     def has_unread_input(self) -> bool:
         """Return whether the kernel holds input that may complete a request; part of a head does not."""
@@ -184,17 +185,18 @@
         is_drained = not self._read_was_full or has_no_unread_input(self._sock)
         self._arrival.input_received(now, len(data), is_drained)
         self._input.append(data)
-        if self._may_parse():
-            self._parse()
+        self._parse()
         self._update_reading()
 
     def _may_parse(self) -> bool:
-        """Return whether the input belongs to the request that is being received."""
-        return self._upload is not None or (self._request is None and not self._write_blocked)
+        """Return whether the input belongs to the request that is awaited or being received."""
+        if self._parse_scheduled or self._phase() not in (RequestPhase.AWAITED, RequestPhase.RECEIVING):
+            return False
+        return self._upload is not None or not self._write_blocked
 
     def _parse(self) -> None:
-        """Parse up to the end of one request."""
-        if self._parse_scheduled:
+        """Parse up to the end of one request, if the parser may be given input now."""
+        if not self._may_parse():
             return
         try:
             self._handle_events()
@@ -212,13 +214,10 @@
     def _continue_parsing(self) -> None:
         self._parse_scheduled = False
         self._update_reading()
-        if self._transport is None or self._transport.is_closing() or self._linger_deadline is not None:
-            return
-        if self._may_parse():
-            self._parse()
+        self._parse()
 
     def _handle_next_event(self) -> bool:
-        if self._linger_deadline is not None or self._transport is None or self._transport.is_closing():
+        if self._phase() is RequestPhase.LAST:
             return False
         event = self._h11.next_event()
         if event is h11.NEED_DATA:
@@ -318,21 +317,18 @@
 
     def _next_request(self) -> None:
         """Continue with the input after the answered request."""
-        if self._transport is None or self._transport.is_closing():
+        if self._phase() is not RequestPhase.ANSWERED or self._write_blocked:
             return
-        if self._request is not None or self._write_blocked:
-            return
-        if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
-            self._renew_parser()
+        self._renew_parser()
+        self._update_reading()
+        if self._input:
+            self._owner.input_received(self)
+            extra = {"event": "input_behind_request"}
+            log.info("port %d sent %d bytes after its request", self._port, len(self._input), extra=extra)
+            self._parse()
             self._update_reading()
-            if self._input:
-                self._owner.input_received(self)
-                extra = {"event": "input_behind_request"}
-                log.info("port %d sent %d bytes after its request", self._port, len(self._input), extra=extra)
-                self._parse()
-                self._update_reading()
-            else:
-                self._owner.connection_idle(self)
+        else:
+            self._owner.connection_idle(self)
 
     def _renew_parser(self) -> None:
         """Let the parser expect the next request."""
--- a/sidecar_balancer/downstream/response_connection.py
+++ b/sidecar_balancer/downstream/response_connection.py
@@ -12,6 +12,7 @@
 
 from sidecar_balancer.downstream.client_transport import ClientTransport
 from sidecar_balancer.downstream.request import ClientRequest, RequestHandler
+from sidecar_balancer.downstream.request_phase import RequestPhase, request_phase
 from sidecar_balancer.policy.settings import Settings
 from sidecar_balancer.runtime.head_buffer import MAX_CHUNKS_PIECE_BYTES
 from sidecar_balancer.runtime.headers import Headers
@@ -66,6 +67,12 @@
         self._write_blocked = False  # not all written data has gone to the kernel yet
         self._parser_has_rest = False  # the parser holds input behind the request
 
+    def _phase(self) -> RequestPhase:
+        """Return the phase of the current request."""
+        if self._transport is None or self._transport.is_closing() or self._linger_deadline is not None:
+            return RequestPhase.LAST
+        return request_phase(self._h11)
+
     def is_idle(self) -> bool:
         """Return whether it may be closed: no request is in flight, partly received or still unread."""
         raise NotImplementedError
@@ -183,7 +190,7 @@
             self._stop_timer()
         if self._source is not None:
             self._source.resume()
-        elif self._request is None:
+        else:
             self._next_request()
 
     # -- Closing the connection
--- a/tests/runtime/test_request_ids.py
+++ b/tests/runtime/test_request_ids.py
@@ -16,7 +16,6 @@
 from sidecar_balancer.runtime import request_ids
 from sidecar_balancer.runtime.request_ids import ClaimsExhaustedError, RequestIds
 
-
 CLAIM_FOREVER = """
 import itertools, pathlib, sys
 from sidecar_balancer.runtime.request_ids import RequestIds
--- a/tests/support/slow_files.py
+++ b/tests/support/slow_files.py
@@ -1,7 +1,7 @@
 """A sidecar whose file system becomes slow: from SIGUSR1 on, each file operation takes half a second.
 
-Run in place of the module `sidecar_balancer`.  Slow are opening, listing, creating, deleting and locking files
-anywhere, /proc and imported modules included, as well as syncs.
+Run in place of the module `sidecar_balancer`.  Slow are opening, listing, creating, deleting and locking
+files anywhere, /proc and imported modules included, as well as syncs.
 """
 
 from __future__ import annotations
