Bound the input behind a request after which its connection closes

Cause: reading pauses where input waits that can't be parsed yet, which was asked of the parser's state DONE alone. Behind a request with 'Connection: close', or of HTTP/1.0, the state is another one, and reading went on for as long as the response took.

Change: the phase of the request decides. The flood behind such a request joins the floods of the memory limit.

--- a/sidecar_balancer/downstream/upload_connection.py
+++ b/sidecar_balancer/downstream/upload_connection.py
@@ -10,6 +10,7 @@
 from sidecar_balancer.downstream.arrival import MIN_RECEIVE_WINDOW_BYTES, ArrivalEstimate
 from sidecar_balancer.downstream.request import ClientRequest
 from sidecar_balancer.downstream.request_deadline import RequestDeadline
+from sidecar_balancer.downstream.request_phase import RequestPhase
 from sidecar_balancer.downstream.response_connection import ConnectionContext, ResponseConnection
 from sidecar_balancer.runtime.errors import RequestError
 from sidecar_balancer.runtime.memory_budget import REQUEST_BYTES
@@ -101,7 +102,7 @@
 
     def _is_too_far_ahead(self) -> bool:
         """Return whether input waits that can't be parsed yet, and there is no room for more of it."""
-        is_waiting = self._write_blocked or self._h11.their_state is h11.DONE
+        is_waiting = self._write_blocked or self._phase() in (RequestPhase.RESPONDING, RequestPhase.ANSWERED)
         return is_waiting and len(self._input) >= self.memory_budget.read_ahead_size()
 
     def _client_may_have_left(self) -> bool:
--- a/tests/support/misbehaving_clients.py
+++ b/tests/support/misbehaving_clients.py
@@ -191,6 +191,11 @@
     await _flood(reader, writer, lambda: with_fields(15_000, unique_request(path="/api/ok")))
 
 
+async def flood_behind_last_request(reader: Reader, writer: Writer) -> None:
+    writer.write(unique_request(path="/api/hang", Connection="close"))
+    await _flood(reader, writer, lambda: unique_request(path="/api/ok"))
+
+
 STATES: dict[str, Act] = {
     function.__name__: function
     for function in (
@@ -225,6 +230,7 @@
         flood_of_chunks,
         flood_of_trailers,
         flood_of_fields,
+        flood_behind_last_request,
     )
 }
 
