Never close a connection whose late request has arrived but was not read yet

Cause: the time limit of a request granted unread input 50 ms once. Where the event loop's turns are shared or late, input waits longer than that; the connection was closed over it.

Change: input that waits unread since the limit passed is waited for until some of it has been read; then the limit decides at once.

--- a/sidecar_balancer/downstream/client_connection.py
+++ b/sidecar_balancer/downstream/client_connection.py
@@ -35,7 +35,7 @@
 log = logging.getLogger(__name__)
 
 _READINESS_PATH = b"/health/ready"
-_UNREAD_INPUT_GRACE_S = 0.05  # enough time to read input that waited while the event loop was late
+_UNREAD_INPUT_GRACE_S = 0.05  # interval between checks whether input that waits has been read
 
 
 class ConnectionOwner(ConnectionContext, Protocol):
@@ -152,20 +152,23 @@
         if self._timer is None:
             loop = asyncio.get_running_loop()
             self._deadline.awaited_since = loop.time()
-            self._timer = loop.call_later(
-                request_deadline.REQUEST_TIMEOUT_S, self._check_request_deadline, True
-            )
+            self._timer = loop.call_later(request_deadline.REQUEST_TIMEOUT_S, self._check_request_deadline)
 
-    def _check_request_deadline(self, allow_unread_input: bool) -> None:
-        """Reject a request that arrives too slowly, unless its server or this process is the slow one."""
+    def _check_request_deadline(self, overdue_since: float | None = None) -> None:
+        """Reject a request that arrives too slowly, unless its server or this process is the slow one.
+
+        Args:
+            overdue_since: The time of the first check that found unread input; None if there was none.
+        """
         loop = asyncio.get_running_loop()
         if self._reading_paused:
             self._deadline.restart_body(loop.time())
         if (due_at := self._deadline.due_at(self._head is not None)) > loop.time():
-            self._timer = loop.call_at(due_at, self._check_request_deadline, True)
+            self._timer = loop.call_at(due_at, self._check_request_deadline)
             return
-        if allow_unread_input and not has_no_unread_input(self._sock):
-            self._timer = loop.call_later(_UNREAD_INPUT_GRACE_S, self._check_request_deadline, False)
+        overdue_since = overdue_since or loop.time()
+        if self._deadline.last_input_at < overdue_since and not has_no_unread_input(self._sock):
+            self._timer = loop.call_later(_UNREAD_INPUT_GRACE_S, self._check_request_deadline, overdue_since)
             return
         self._timer = None
         if self._is_partly_received():
--- a/tests/downstream/test_client_connection.py
+++ b/tests/downstream/test_client_connection.py
@@ -88,6 +88,33 @@
     run_scenario(scenario())
 
 
+@pytest.mark.parametrize("used", [False, True])
+def test_a_request_that_waits_unread_past_its_deadline_is_answered(
+    used: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(request_deadline, "REQUEST_TIMEOUT_S", 0.2)
+
+    async def scenario() -> None:
+        async with running_sidecar(served) as environment:
+            reader, writer = await asyncio.open_connection(*environment.sidecar.frontend.address)
+            data = request()
+            if used:
+                writer.write(request() + data[:9])
+                assert (await read_response(reader))[0] == 200
+                data = data[9:]
+            await wait_until(lambda: environment.sidecar.frontend.connections)
+            (connection,) = environment.sidecar.frontend.connections
+            assert connection._transport is not None
+            connection._transport.pause_reading()
+            writer.write(data)
+            await asyncio.sleep(0.5)
+            connection._transport.resume_reading()
+            assert (await read_response(reader))[0] == 200
+            writer.close()
+
+    run_scenario(scenario())
+
+
 def test_client_that_does_not_read_its_response_is_disconnected(monkeypatch: pytest.MonkeyPatch) -> None:
     # Guards the limit on file descriptors: the connection would never become idle.
     monkeypatch.setattr(client_transport, "STALL_TIMEOUT_S", 0.1)
