End lingering connections before those that may carry a request

Cause: after an error a connection discards what its client still sends for as long as more comes, which is megabytes from the kernel at full speed. Some 340 of them lingered and took all connections, and eviction began with kept ones.

Change: lingering connections are evicted first. Beyond an eighth of the connections those that began first end, once their clients had 0.1 s to read the answer.

--- a/sidecar_balancer/downstream/client_connection.py
+++ b/sidecar_balancer/downstream/client_connection.py
@@ -50,6 +50,9 @@
     def connection_idle(self, connection: ClientConnection) -> None:
         """Record that the connection now waits for its next request."""
 
+    def connection_lingering(self, connection: ClientConnection) -> None:
+        """Record that the connection has been answered and only discards further input."""
+
     def connection_closed(self, connection: ClientConnection) -> None:
         """Stop tracking the connection."""
 
@@ -144,7 +147,10 @@
         )
         if is_partly_received and self._linger_deadline is None:
             self._respond_with_error(RequestError(503, "too many connections"))
-        self._end_linger()  # a client that still sends may miss the response, but the descriptor is free
+        self.end_linger()  # a client that still sends may miss the response, but the descriptor is free
+
+    def _linger_started(self) -> None:
+        self._owner.connection_lingering(self)
 
     # -- Time limits for receiving a request
 
--- a/sidecar_balancer/downstream/client_transport.py
+++ b/sidecar_balancer/downstream/client_transport.py
@@ -80,14 +80,20 @@
                 self._transport.write_eof()
             self._update_charge()
             self._extend_linger()
+            self._linger_started()
+
+    def _linger_started(self) -> None:
+        """Report that the connection lingers."""
+        raise NotImplementedError
 
     def _extend_linger(self) -> None:
         loop = asyncio.get_running_loop()
         self._stop_timer()
         linger_until = min(loop.time() + _LINGER_S, self._linger_deadline or 0.0)
-        self._timer = loop.call_at(linger_until, self._end_linger)
+        self._timer = loop.call_at(linger_until, self.end_linger)
 
-    def _end_linger(self) -> None:
+    def end_linger(self) -> None:
+        """Close a connection that has lingered for long enough."""
         if self._transport is not None and self._transport.get_write_buffer_size():
             self._transport.abort()  # a close would wait for the client, which does not read
         else:
--- a/sidecar_balancer/downstream/connection_table.py
+++ b/sidecar_balancer/downstream/connection_table.py
@@ -10,6 +10,7 @@
 _ESTABLISHED_AFTER_S = 0.1  # time from its start after which a request that is arriving is given up last
 _MAX_WAIT_S = 0.1  # longest time for which no connection is accepted before such a request is given up
 _MAX_READ_WAIT_S = 0.2  # the same, while input of the request that would be given up is still to be read
+_MIN_LINGER_S = 0.1  # time for a client to read its last response before its connection may be reset
 _MAX_QUEUE_S = 0.3  # longest time for which connections wait, though some are accepted meanwhile
 
 
@@ -62,7 +63,8 @@
     """The open connections, the least recently active first.
 
     Whether a client has stopped within its request or only pauses can't be told, so those that have shown the
-    least are evicted first: clients that were answered and only have to connect again, then the stalled ones,
+    least are evicted first: connections that only linger after their last response, then clients that were
+    answered and only have to connect again, then the stalled ones,
     the longest silent first, then those that have sent nothing.  Of the requests that are still arriving the
     latest is evicted: a crowd that comes at once does not push out slow clients that came before it.
     """
@@ -71,6 +73,7 @@
         """Start without connections."""
         self._connections: dict[ConnectionT, None] = {}
         self._kept_alive: dict[ConnectionT, None] = {}  # a part of `_connections`, the longest idle first
+        self._lingering: dict[ConnectionT, float] = {}  # another part, with the times since which they do
 
     def __contains__(self, connection: object) -> bool:
         return connection in self._connections
@@ -89,6 +92,7 @@
         """Remove a connection; no effect if it is not in the table."""
         self._connections.pop(connection, None)
         self._kept_alive.pop(connection, None)
+        self._lingering.pop(connection, None)
 
     def record_input(self, connection: ConnectionT) -> None:
         """Record that a connection has received input."""
@@ -102,6 +106,18 @@
             self.remove(connection)
             self._connections[connection] = self._kept_alive[connection] = None
 
+    def record_lingering(self, connection: ConnectionT, now: float) -> None:
+        """Record that a connection has had its last response and only discards further input."""
+        if connection in self._connections:
+            self.remove(connection)
+            self._connections[connection] = None
+            self._lingering[connection] = now
+
+    def excess_lingering(self, limit: int, now: float) -> list[ConnectionT]:
+        """Return the earliest lingering connections beyond `limit` whose clients had time to read."""
+        excess = list(self._lingering)[: max(len(self._lingering) - limit, 0)]
+        return [each for each in excess if now - self._lingering[each] >= _MIN_LINGER_S]
+
     def select_victim(self, now: float, wait: CapacityWait) -> ConnectionT | None:
         """Return the connection to evict, or None if all must stay for now.
 
@@ -114,12 +130,13 @@
     def victims(self, now: float, wait: CapacityWait) -> Iterator[ConnectionT]:
         """Yield the connections to evict in this turn of the event loop, in their order.
 
-        Idle ones come first, which have been so for longest, and then the latest requests.
+        Lingering ones come first, then idle ones, the longest idle first, and then the latest requests.
 
         Args:
             now: The time on the event loop's clock.
             wait: For how long new connections have waited for capacity.
         """
+        yield from list(self._lingering)
         yield from _without_input(list(self._kept_alive))
         receiving: list[ConnectionT] = []
         for connection in list(self._connections):
--- a/sidecar_balancer/downstream/frontend.py
+++ b/sidecar_balancer/downstream/frontend.py
@@ -18,6 +18,7 @@
 from sidecar_balancer.runtime.sockets import bound_send_buffer
 
 _IDLE_CLOSE_INTERVAL_S = 0.02  # interval between a drain's checks for idle connections
+_LINGERING_SHARE = 8  # part of the connections that may linger, though their clients go on sending
 _FLUSH_POLL_S = 0.005  # interval between the shutdown's checks whether the last responses have been sent
 
 
@@ -157,6 +158,14 @@
         """Record that a connection waits for its next request."""
         self.connections.record_kept_alive(connection)
 
+    def connection_lingering(self, connection: ClientConnection) -> None:
+        """Record that a connection lingers; end those that have done so for longest if too many do."""
+        now = asyncio.get_running_loop().time()
+        self.connections.record_lingering(connection, now)
+        for excess in self.connections.excess_lingering(self.max_connections // _LINGERING_SHARE, now):
+            self.connections.remove(excess)
+            excess.end_linger()
+
     def connection_closed(self, connection: ClientConnection) -> None:
         """Stop tracking a connection."""
         self.connections.remove(connection)
--- a/tests/downstream/test_connection_table.py
+++ b/tests/downstream/test_connection_table.py
@@ -107,3 +107,26 @@
     assert len(table) == 2
     assert first in table
     assert second not in table
+
+
+def test_lingering_connections_are_evicted_before_those_that_may_carry_a_request() -> None:
+    kept_alive, first, second = (FakeConnection(EvictionClass.IDLE) for _ in range(3))
+    table = table_of(kept_alive, first, second)
+    table.record_kept_alive(kept_alive)
+    table.record_lingering(first, NOW - 1.0)
+    table.record_lingering(second, NOW)
+    for expected in (first, second, kept_alive):
+        assert table.select_victim(NOW, NO_WAIT) is expected
+        table.remove(expected)
+
+
+def test_the_earliest_lingering_connections_are_in_excess_once_their_clients_had_time_to_read() -> None:
+    connections = [FakeConnection(EvictionClass.IDLE) for _ in range(6)]
+    table = table_of(*connections)
+    for connection, since in zip(connections, (0.5, 0.4, 0.3, 0.05, 0.0), strict=False):
+        table.record_lingering(connection, NOW - since)
+    assert table.excess_lingering(5, NOW) == []
+    assert table.excess_lingering(3, NOW) == connections[:2]
+    assert table.excess_lingering(0, NOW) == connections[:3]
+    table.remove(connections[0])
+    assert table.excess_lingering(3, NOW) == [connections[1]]
