Share ids and usage between processes in mapped memory, without files or locks on the loop

Cause: ten times a second the event loop truncated, wrote, listed and read files in $TMPDIR and opened one in /proc, and each claim of an id took a file lock; it waited for the file system, and for a stopped process that held the lock 503 was answered.

Change: a file that all processes of a sidecar map, with a region for each; its owner is known by a lock that is taken once at the start, without a wait. Usage and ids are written to the own region and read from the others by memory alone. A claim is written before the others are read again, so of two processes that claim an id at once one at most succeeds. The memory counters stay open.

--- a/sidecar_balancer/runtime/process_usage.py
+++ b/sidecar_balancer/runtime/process_usage.py
@@ -1,20 +1,23 @@
 """What the processes of one sidecar use: during an upgrade two of them share its limits.
 
-Each process writes a record into its own file and reads those of the others.  A record that has not been
-renewed for a while belongs to a process that has ended.
+Each process writes a record to its own region of a file that all of them map, and reads those of the others.
+A record that has not been renewed for a while belongs to a process that has ended.
 """
 
 from __future__ import annotations
 
-import contextlib
-import os
+import logging
 import struct
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 
-_FOLDER_PREFIX = "process-usage-1"  # the number changes with the form of a record
+from sidecar_balancer.runtime.shared_file import SharedFile
+
+log = logging.getLogger(__name__)
+
+_FILE_PREFIX = "process-usage-2"  # the number changes with the form of a record
 RENEWAL_INTERVAL_S = 0.1
 _MAX_AGE_S = 1.0
 _RECORD = struct.Struct("=dQQQQ")  # monotonic time in seconds, then the fields of ProcessUsage
@@ -52,48 +55,41 @@
         self, folder: Path | None, name: str = "", monotonic_s: Callable[[], float] = time.monotonic
     ) -> None:
         """Use a folder that all processes of the sidecar share, under a name that is its own."""
-        self._folder = None if folder is None else folder / f"{_FOLDER_PREFIX}{name}"
-        self._own_name = str(os.getpid())
         self._monotonic_s = monotonic_s
+        self._file: SharedFile | None = None
+        if folder is not None:
+            try:
+                self._file = SharedFile(folder / f"{_FILE_PREFIX}{name}", _RECORD.size)
+            except OSError as error:
+                extra = {"event": "process_usage_not_shared"}
+                log.warning("an upgrade will not share the limits: %s", error, extra=extra)
 
     def publish(self, usage: ProcessUsage) -> None:
-        """Write this process's record; a failure leaves the others with an older one."""
-        if self._folder is None:
-            return
-        record = _RECORD.pack(
-            self._monotonic_s(),
-            usage.processes,
-            usage.resident_bytes,
-            usage.client_connections,
-            usage.server_connections,
-        )
-        with contextlib.suppress(OSError):
-            self._folder.mkdir(exist_ok=True)
-            (self._folder / self._own_name).write_bytes(record)
+        """Write this process's record."""
+        if self._file is not None:
+            _RECORD.pack_into(
+                self._file.own,
+                0,
+                self._monotonic_s(),
+                usage.processes,
+                usage.resident_bytes,
+                usage.client_connections,
+                usage.server_connections,
+            )
 
     def others(self) -> ProcessUsage:
-        """Return the sum of what the other live processes use; files of ended ones are deleted."""
-        total = ProcessUsage()
-        if self._folder is None:
-            return total
-        with contextlib.suppress(OSError):
-            for path in self._folder.iterdir():
-                if path.name != self._own_name:
-                    total += self._read(path)
-        return total
-
-    def _read(self, path: Path) -> ProcessUsage:
-        record = path.read_bytes()
-        if len(record) != _RECORD.size:
-            return ProcessUsage()  # its writer was interrupted, and will renew it
-        written_at, *fields = _RECORD.unpack(record)
-        if not 0.0 <= self._monotonic_s() - written_at <= _MAX_AGE_S:
-            path.unlink(missing_ok=True)
-            return ProcessUsage()
-        return ProcessUsage(*fields)
+        """Return the sum of what the other live processes use."""
+        regions = [] if self._file is None else self._file.others()
+        return sum((self._read(region) for region in regions), ProcessUsage())
+
+    def _read(self, region: memoryview) -> ProcessUsage:
+        written_at, *fields = _RECORD.unpack(region)
+        is_recent = 0.0 <= self._monotonic_s() - written_at <= _MAX_AGE_S
+        return ProcessUsage(*fields) if is_recent else ProcessUsage()
 
     def close(self) -> None:
-        """Delete this process's record."""
-        if self._folder is not None:
-            with contextlib.suppress(OSError):
-                (self._folder / self._own_name).unlink(missing_ok=True)
+        """Clear this process's record."""
+        if self._file is not None:
+            self._file.own[:] = bytes(_RECORD.size)
+            self._file.close()
+            self._file = None
--- a/sidecar_balancer/runtime/request_ids.py
+++ b/sidecar_balancer/runtime/request_ids.py
@@ -1,38 +1,39 @@
-"""Ids of requests that may have run, in a file that both processes of an upgrade map into memory.
+"""Ids of requests that may have run, which both processes of an upgrade know.
 
-The file has a header and a table of slots in sets: an id's hash selects the set.  A slot holds the hash and
-the time of its claim.  Without a file, as where its folder can't be written, the table is this process's own.
+Each process has a table in its own region of a file that all of them map: slots in sets, where an id's hash
+selects the set, and a slot holds the hash and the time of its claim.  A process writes to its own table and
+reads all of them.  Without a file, as where its folder can't be written, there is this process's table alone.
 """
 
 from __future__ import annotations
 
-import fcntl
 import logging
 import mmap
-import os
+import threading
 import time
 from collections.abc import Callable
 from pathlib import Path
 
 import xxhash
 
+from sidecar_balancer.runtime.shared_file import SharedFile
+
 log = logging.getLogger(__name__)
 
-_FILE_PREFIX = "request-ids-1"  # the number changes with the layout
+_FILE_PREFIX = "request-ids-2"  # the number changes with the layout
 _SLOTS_PER_SET = 16
 _SETS = 2048
 _SLOTS = _SETS * _SLOTS_PER_SET
 _HASH_BYTES = 8
 _TIME_BYTES = 4  # milliseconds on the monotonic clock, which processes share, modulo 2**32
-_FILE_BYTES = _SLOTS * (_HASH_BYTES + _TIME_BYTES)
+_TABLE_BYTES = _SLOTS * (_HASH_BYTES + _TIME_BYTES)
 _TIME_MASK = 0xFFFF_FFFF
 _MIN_RETENTION_MS = 30_000  # a claim is not overwritten before this
 _FREE = 0
-_LOCK_ATTEMPTS = 100
 
 
 class ClaimsExhaustedError(Exception):
-    """The table has no room for another id, or another process holds its lock."""
+    """The table has no room for another id."""
 
 
 class RequestIds:
@@ -41,41 +42,42 @@
     def __init__(
         self, folder: Path | None = None, name: str = "", monotonic_s: Callable[[], float] = time.monotonic
     ) -> None:
-        """Map the table of this name in `folder`, or one of this process alone without a folder."""
+        """Share the tables of this name in `folder`, or have one for this process alone without a folder."""
         self._monotonic_s = monotonic_s
-        self._file: int | None = None
-        self._table = self._map(folder, name)
-        view = memoryview(self._table)
-        self._hashes = view[: _SLOTS * _HASH_BYTES].cast("Q")
-        self._times = view[_SLOTS * _HASH_BYTES :].cast("I")
-
-    def _map(self, folder: Path | None, name: str) -> mmap.mmap:
-        if folder is not None:
-            try:
-                self._file = _open_table(folder / f"{_FILE_PREFIX}{name}")
-                return mmap.mmap(self._file, _FILE_BYTES)
-            except OSError as error:
-                extra = {"event": "request_ids_not_shared"}
-                log.warning("an upgrade will not know the ids that have run: %s", error, extra=extra)
-                self._close_file()
-        return mmap.mmap(-1, _FILE_BYTES)
+        self._fence = threading.Lock()
+        self._file = _open_file(folder, name)
+        table = memoryview(mmap.mmap(-1, _TABLE_BYTES)) if self._file is None else self._file.own
+        self._hashes = table[: _SLOTS * _HASH_BYTES].cast("Q")
+        self._times = table[_SLOTS * _HASH_BYTES :].cast("I")
 
     def claim(self, request_id: str) -> bool:
         """Claim an id for a request that may run from now on; return whether no other request had claimed it.
 
+        Of two processes that claim an id at the same moment, one at most succeeds.
+
         Raises:
             ClaimsExhaustedError: If the claim can't be recorded.
         """
         hashed = _hash(request_id)
-        with _FileLock(self._file):
-            slots = self._set_of(hashed)
-            hashes = self._hashes[slots.start : slots.stop].tolist()
-            if hashed in hashes:
-                return False
-            slot = slots.start + self._replaceable(slots, hashes)
-            self._hashes[slot] = hashed
-            self._times[slot] = self._now_ms()
-        return True
+        slots = self._set_of(hashed)
+        hashes = self._hashes[slots.start : slots.stop].tolist()
+        if hashed in hashes or self._is_claimed_elsewhere(hashed):
+            return False
+        slot = slots.start + self._replaceable(slots, hashes)
+        self._times[slot] = self._now_ms()
+        self._hashes[slot] = hashed
+        with self._fence:  # an atomic operation: the claim is written before the other tables are read again
+            is_claimed_elsewhere = self._is_claimed_elsewhere(hashed)
+        if is_claimed_elsewhere:
+            self._hashes[slot] = _FREE
+        return not is_claimed_elsewhere
+
+    def _is_claimed_elsewhere(self, hashed: int) -> bool:
+        if self._file is None:
+            return False
+        slots = self._set_of(hashed)
+        first, end = slots.start * _HASH_BYTES, slots.stop * _HASH_BYTES
+        return any(hashed in region[first:end].cast("Q").tolist() for region in self._file.others())
 
     def release(self, request_id: str) -> None:
         """Give a claimed id up, as its request can't have run."""
@@ -102,58 +104,25 @@
     def _now_ms(self) -> int:
         return int(self._monotonic_s() * 1000) & _TIME_MASK
 
-    def _close_file(self) -> None:
-        if self._file is not None:
-            os.close(self._file)
-            self._file = None
-
     def close(self) -> None:
-        """Unmap the table; the file stays for the other process."""
+        """Unmap the tables; the file stays for the other process."""
         self._hashes.release()
         self._times.release()
-        self._close_file()
+        if self._file is not None:
+            self._file.close()
+            self._file = None
 
 
 def _hash(request_id: str) -> int:
     return xxhash.xxh3_64_intdigest(request_id.encode("latin-1", "replace")) or 1  # 0 marks a free slot
 
 
-def _open_table(path: Path) -> int:
-    """Open the file of the table, and give a new one its whole size, so that no later write can fail.
-
-    Raises:
-        OSError: If it can't be written.
-    """
-    file = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+def _open_file(folder: Path | None, name: str) -> SharedFile | None:
+    if folder is None:
+        return None
     try:
-        with _FileLock(file, waits=True):
-            missing = _FILE_BYTES - os.fstat(file).st_size
-            if missing > 0:
-                os.posix_fallocate(file, 0, _FILE_BYTES)
-    except BaseException:
-        os.close(file)
-        raise
-    return file
-
-
-class _FileLock:
-    """The lock between the processes that share the table; none is needed without a file."""
-
-    def __init__(self, file: int | None, waits: bool = False) -> None:
-        self._file = file
-        self._operation = fcntl.LOCK_EX if waits else fcntl.LOCK_EX | fcntl.LOCK_NB
-
-    def __enter__(self) -> None:
-        if self._file is None:
-            return
-        for _ in range(_LOCK_ATTEMPTS):
-            try:
-                fcntl.lockf(self._file, self._operation)
-            except OSError:
-                continue  # the other process holds it for microseconds, unless it is stopped
-            return
-        raise ClaimsExhaustedError("another process holds the lock of the table")
-
-    def __exit__(self, *_: object) -> None:
-        if self._file is not None:
-            fcntl.lockf(self._file, fcntl.LOCK_UN)
+        return SharedFile(folder / f"{_FILE_PREFIX}{name}", _TABLE_BYTES)
+    except OSError as error:
+        extra = {"event": "request_ids_not_shared"}
+        log.warning("an upgrade will not know the ids that have run: %s", error, extra=extra)
+        return None
--- a/sidecar_balancer/sidecar/limit_sharing.py
+++ b/sidecar_balancer/sidecar/limit_sharing.py
@@ -5,7 +5,7 @@
 from sidecar_balancer.downstream.frontend import Frontend
 from sidecar_balancer.runtime.memory_budget import PROGRAM_BYTES, MemoryBudget
 from sidecar_balancer.runtime.process_usage import ProcessUsage, UsageExchange
-from sidecar_balancer.runtime.resident_memory import resident_bytes
+from sidecar_balancer.runtime.resident_memory import ResidentMemory
 from sidecar_balancer.upstream.endpoint_pool import EndpointPool
 
 RESERVED_DESCRIPTORS = 64  # descriptors kept free for discovery, logs and the interpreter
@@ -18,6 +18,7 @@
     def __init__(
         self,
         usage_exchange: UsageExchange,
+        resident_memory: ResidentMemory,
         memory_budget: MemoryBudget,
         max_sockets: int,
         frontend: Frontend,
@@ -25,6 +26,7 @@
     ) -> None:
         """Share `max_sockets` descriptors and the limit that `memory_budget` was made for."""
         self._usage_exchange = usage_exchange
+        self._resident_memory = resident_memory
         self._memory_budget = memory_budget
         self._max_sockets = max_sockets
         self._frontend = frontend
@@ -35,7 +37,7 @@
         self._usage_exchange.publish(
             ProcessUsage(
                 processes=1,
-                resident_bytes=resident_bytes(),
+                resident_bytes=self._resident_memory.read(),
                 client_connections=len(self._frontend.connections),
                 server_connections=self._endpoint_pool.open_count,
             )
--- a/sidecar_balancer/sidecar/sidecar.py
+++ b/sidecar_balancer/sidecar/sidecar.py
@@ -32,6 +32,7 @@
 from sidecar_balancer.runtime.process_usage import RENEWAL_INTERVAL_S, UsageExchange
 from sidecar_balancer.runtime.queueing import PollTimes, running_poll_times
 from sidecar_balancer.runtime.request_ids import RequestIds
+from sidecar_balancer.runtime.resident_memory import ResidentMemory
 from sidecar_balancer.runtime.timers import Timers
 from sidecar_balancer.sidecar.endpoint_updates import EndpointUpdates
 from sidecar_balancer.sidecar.limit_sharing import RESERVED_DESCRIPTORS, LimitSharing
@@ -96,8 +97,10 @@
             memory_budget,
             poll_times,
         )
+        self._resident_memory = ResidentMemory()
         self._limit_sharing = LimitSharing(
             UsageExchange(config.shared_folder, _file_suffix(config)),
+            self._resident_memory,
             memory_budget,
             config.max_sockets,
             self.frontend,
@@ -122,7 +125,9 @@
             latencies,
         )
         self.admin_server = self._create_admin_server(config)
-        self._status_log = StatusLog(self.engine.balancer, self.proxy, self.frontend, self.endpoint_pool)
+        self._status_log = StatusLog(
+            self.engine.balancer, self.proxy, self.frontend, self.endpoint_pool, self._resident_memory
+        )
         self.engine.executors |= self._executors()
 
     def _create_discovery(self, config: SidecarConfig, poll_times: PollTimes) -> DiscoveryClient:
@@ -199,6 +204,7 @@
         self._timers.close()
         self._request_ids.close()
         self._limit_sharing.close()
+        self._resident_memory.close()
         if self.admin_server is not None:
             self.admin_server.stop()
         if self._membership is not None:
--- a/sidecar_balancer/sidecar/status_log.py
+++ b/sidecar_balancer/sidecar/status_log.py
@@ -11,7 +11,7 @@
 from sidecar_balancer.downstream.frontend import Frontend
 from sidecar_balancer.policy.balancer import Balancer
 from sidecar_balancer.proxy.proxy import Proxy, count_by_status
-from sidecar_balancer.runtime.resident_memory import resident_bytes
+from sidecar_balancer.runtime.resident_memory import ResidentMemory
 from sidecar_balancer.upstream.endpoint_pool import EndpointPool
 
 log = logging.getLogger(__name__)
@@ -25,13 +25,19 @@
     """Logger of state and event loop lag."""
 
     def __init__(
-        self, balancer: Balancer, proxy: Proxy, frontend: Frontend, endpoint_pool: EndpointPool
+        self,
+        balancer: Balancer,
+        proxy: Proxy,
+        frontend: Frontend,
+        endpoint_pool: EndpointPool,
+        resident_memory: ResidentMemory,
     ) -> None:
         """Log the state of the given components."""
         self._balancer = balancer
         self._proxy = proxy
         self._frontend = frontend
         self._endpoint_pool = endpoint_pool
+        self._resident_memory = resident_memory
         self._logged_response_counts: Counter[int] = Counter()
         self._logged_cpu_s = 0.0
 
@@ -70,7 +76,7 @@
             cpu_s,
             memory_budget.used_bytes // 1024,
             memory_budget.total_bytes // 1024,
-            resident_bytes() / 2**20,
+            self._resident_memory.read() / 2**20,
             self._frontend.evictions,
             self._frontend.refusals,
             state_summary(self._balancer),
--- a/tests/runtime/test_request_ids.py
+++ b/tests/runtime/test_request_ids.py
@@ -24,6 +24,15 @@
 for number in itertools.count():
     ids.claim(f"other-{number % 10_000}")
 """
+CLAIM_ALL = """
+import pathlib, sys
+from sidecar_balancer.runtime.request_ids import RequestIds
+ids = RequestIds(pathlib.Path(sys.argv[1]))
+print("ready", flush=True)
+sys.stdin.readline()
+print(*(number for number in range(8_000) if ids.claim(f"id-{number}")))
+"""
+ENVIRON = os.environ | {"PYTHONPATH": str(Path(__file__).parent.parent.parent)}
 WAIT_S = 5.0
 
 
@@ -100,9 +109,8 @@
 def test_a_process_stopped_at_any_moment_keeps_no_other_from_claiming(tmp_path: Path) -> None:
     ids = RequestIds(tmp_path)
     command = [sys.executable, "-c", CLAIM_FOREVER, str(tmp_path)]
-    environ = os.environ | {"PYTHONPATH": str(Path(__file__).parent.parent.parent)}
     rng = random.Random(3)
-    with subprocess.Popen(command, env=environ, stdout=subprocess.PIPE) as other:
+    with subprocess.Popen(command, env=ENVIRON, stdout=subprocess.PIPE) as other:
         try:
             assert other.stdout is not None
             assert other.stdout.readline()
@@ -118,3 +126,21 @@
                 other.send_signal(signal.SIGCONT)
         finally:
             other.kill()
+
+
+def test_processes_that_claim_the_same_ids_at_once_never_claim_one_twice(tmp_path: Path) -> None:
+    command = [sys.executable, "-c", CLAIM_ALL, str(tmp_path)]
+    processes = [
+        subprocess.Popen(command, env=ENVIRON, stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
+        for _ in range(3)
+    ]
+    for process in processes:
+        assert process.stdout is not None
+        assert process.stdout.readline()
+    for process in processes:
+        assert process.stdin is not None
+        process.stdin.write("go\n")
+        process.stdin.flush()
+    claimed = [name for process in processes for name in process.communicate()[0].split()]
+    assert len(claimed) == len(set(claimed))
+    assert len(claimed) > 4_000
