Write the log in a thread, so that no request waits for whoever reads it

Cause: each log line was written to standard error by the event loop, which waits once the pipe is full or its disk is slow.

Relays log the same way.

--- a/sidecar_balancer/observability/logs.py
+++ b/sidecar_balancer/observability/logs.py
@@ -14,6 +14,8 @@
 from dataclasses import dataclass
 from datetime import UTC, datetime
 
+from sidecar_balancer.observability.background_log import BackgroundHandler
+
 LEVELS = ("debug", "info", "warning", "error")
 FORMATS = ("json", "plain")
 _PACKAGE_PREFIX = "sidecar_balancer."
@@ -69,13 +71,23 @@
     return str(getattr(record, "event", "") or record.name)
 
 
-def configure_logging(config: LogConfig) -> LogRateLimiter:
-    """Set up logging to standard error; return the rate limiter, which counts suppressed lines."""
+def configure_logging(config: LogConfig, in_background: bool = False) -> LogRateLimiter:
+    """Set up logging to standard error.
+
+    Args:
+        config: Log level, format and rate limits.
+        in_background: Whether a thread writes the lines, so that no caller waits for whoever reads them.
+
+    Returns:
+        The rate limiter, which counts suppressed lines.
+    """
     is_plain = config.format == "plain" or (not config.format and sys.stderr.isatty())
-    handler = logging.StreamHandler(sys.stderr)
+    handler: logging.Handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(
         _PlainFormatter("%(asctime)s %(name)s %(message)s") if is_plain else _JsonFormatter()
     )
+    if in_background:
+        handler = BackgroundHandler(handler)
     limiter = LogRateLimiter(config.lines_per_s, config.repeats_per_s)
     handler.addFilter(limiter)
     logging.basicConfig(level=config.level.upper(), handlers=[handler], force=True)
--- a/sidecar_balancer/program.py
+++ b/sidecar_balancer/program.py
@@ -68,7 +68,7 @@
     except ConfigurationError as error:
         print(f"bad configuration: {error}".replace("\n", " "), file=sys.stderr)
         return EXIT_BAD_CONFIGURATION
-    limiter = configure_logging(config.logging)
+    limiter = configure_logging(config.logging, in_background=True)
     client_log_limiter = LogRateLimiter(_MAX_CLIENT_LOG_LINES_PER_S, _MAX_CLIENT_LOG_LINES_PER_S)
     for module in (acceptor, client_connection, response_connection):
         module.log.addFilter(client_log_limiter)
--- a/sidecar_balancer/relay/app.py
+++ b/sidecar_balancer/relay/app.py
@@ -131,7 +131,7 @@
     except (OSError, ValueError) as error:
         print(f"bad configuration: {error}".replace("\n", " "), file=sys.stderr)
         return 2
-    configure_logging(config.logging)
+    configure_logging(config.logging, in_background=True)
     gc.freeze()
     try:
         with asyncio.Runner(loop_factory=TimedLoop) as runner:
