Read and write overrides, state and configuration off the event loop

With operations of half a second each nothing was answered.

Cause: the event loop listed the folder of overrides ten times a second, synced the state to disk, stored what operators ordered, and read the configuration again, itself.

Change: FileWorker runs these in a thread, in the order in which they were started, and reports their ends on the loop. A poll or a write is not started while the last one waits. An admin call that stores something is answered once that is stored; one that waits 10 s gets an error. The state is collected on the loop and written by the thread.

--- a/sidecar_balancer/admin/server.py
+++ b/sidecar_balancer/admin/server.py
@@ -1,7 +1,8 @@
 """Admin server: HTTP/1.1 with one call per connection.  It only parses calls and routes them to handlers.
 
-A complete call is answered in the event loop iteration that reads it: under load each further iteration may
-take a large part of the second within which a response is due, so no tasks or transports are used.
+A complete call that changes nothing on disk is answered in the event loop iteration that reads it: under load
+each further iteration may take a large part of the second within which a response is due, so no tasks or
+transports are used.  A change is stored by the file worker and answered in the iteration after that.
 """
 
 from __future__ import annotations
@@ -11,12 +12,14 @@
 import logging
 import socket
 from collections.abc import Callable
-from typing import NamedTuple
+from functools import partial
+from typing import Any, NamedTuple
 from urllib.parse import unquote
 
 import h11
 
 from sidecar_balancer.addresses import Address
+from sidecar_balancer.runtime.background import Completion, FileWorker
 from sidecar_balancer.runtime.errors import RequestError
 
 log = logging.getLogger(__name__)
@@ -24,11 +27,13 @@
 MAX_CONNECTIONS = 16  # limit beyond which the oldest is closed, so that idle callers do not block others
 _BACKLOG = 8 * MAX_CONNECTIONS
 _REQUEST_TIMEOUT_S = 2.0
+_CHANGE_TIMEOUT_S = 10.0  # time limit for a change to be stored
 _LINGER_S = 1.0  # time for which a connection stays open after its response, so that it is delivered
 _MAX_BODY_BYTES = 4096  # maximum body size of a request; no call needs a body
 _MAX_HEAD_BYTES = 16 * 1024
 _READ_BYTES = 16 * 1024
 _API_PREFIX = "/api/"
+_NOT_STORED_BODY = "the order was not stored in time, and may still be"
 _TIMEOUT_BODY = "the call did not come in time"
 
 
@@ -36,15 +41,27 @@
     """A rejected admin API call; the message is the body of the response."""
 
 
+class StoredChange(NamedTuple):
+    """The rest of a call that stores something.
+
+    Attributes:
+        operation: Stores it; the file worker runs this.
+        complete: Applies what was stored, on the event loop; may raise RequestRejectedError.
+    """
+
+    operation: Callable[[], Any]
+    complete: Callable[[Completion[Any]], None]
+
+
 class Route(NamedTuple):
     """An admin API call.
 
-    The handler takes the name in the path, "" for a call without one, and returns the response body, or None
-    for the body "yes".  It may raise RequestRejectedError.
+    The handler takes the name in the path, "" for a call without one, and returns the response body, None for
+    the body "yes", or the change that is to be stored first.  It may raise RequestRejectedError.
     """
 
     method: str
-    handle: Callable[[str], str | None]
+    handle: Callable[[str], str | StoredChange | None]
 
 
 class Response(NamedTuple):
@@ -60,8 +77,11 @@
     `routes` maps paths below /api/ to their routes; a path that ends in a slash is followed by a name.
     """
 
-    def __init__(self, address: Address, routes: dict[str, Route]) -> None:
+    def __init__(
+        self, address: Address, routes: dict[str, Route], file_worker: FileWorker | None = None
+    ) -> None:
         self._routes = routes
+        self._file_worker = file_worker or FileWorker()
         self._connections: dict[AdminConnection, None] = {}  # oldest first
         self._sock = socket.create_server(address, backlog=_BACKLOG)
         self._sock.setblocking(False)
@@ -107,11 +127,40 @@
         if self._connections:
             next(iter(self._connections)).close()
 
-    def _handle(self, request: h11.Request) -> Response:
+    def _handle(self, request: h11.Request, respond: Callable[[Response], None]) -> None:
+        """Call `respond` once, now or when a change has been stored."""
         method, target = request.method.decode(), request.target.decode("latin-1")
-        try:
+
+        def handle() -> str | StoredChange | None:
             route, name = self._route(method, target)
-            body = route.handle(name)
+            return route.handle(name)
+
+        result = self._result(method, target, handle)
+        if isinstance(result, StoredChange):
+            completed = partial(self._change_stored, method, target, result, respond)
+            self._file_worker.start(result.operation, completed)
+        else:
+            respond(result)
+
+    def _change_stored(
+        self,
+        method: str,
+        target: str,
+        change: StoredChange,
+        respond: Callable[[Response], None],
+        completion: Completion[Any],
+    ) -> None:
+        result = self._result(method, target, partial(change.complete, completion))
+        assert isinstance(result, Response)
+        respond(result)
+
+    @staticmethod
+    def _result(
+        method: str, target: str, handle: Callable[[], str | StoredChange | None]
+    ) -> Response | StoredChange:
+        """Return the response to a call, or the change that is to be stored before."""
+        try:
+            body = handle()
         except RequestRejectedError as rejection:
             if method != "GET":  # a caller that waits for a start polls many times a second
                 log.info(
@@ -125,6 +174,8 @@
         except Exception:  # a defect in a handler; the server keeps running
             log.exception("admin call %s %.100s failed", method, target, extra={"event": "admin_call_failed"})
             return Response(500, "internal error")
+        if isinstance(body, StoredChange):
+            return body
         if method != "GET":
             log.info("admin call %s %.100s accepted", method, target, extra={"event": "admin_call_accepted"})
         return Response(200, "yes" if body is None else body)
@@ -148,7 +199,7 @@
     def __init__(
         self,
         sock: socket.socket,
-        handle: Callable[[h11.Request], Response],
+        handle: Callable[[h11.Request, Callable[[Response], None]], None],
         connections: dict[AdminConnection, None],
     ) -> None:
         loop = asyncio.get_running_loop()
@@ -158,6 +209,7 @@
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=_MAX_HEAD_BYTES)
         self._request: h11.Request | None = None
         self._body_bytes = 0
+        self._is_handling = False  # the call was received completely, and its response is due
         self._has_responded = False
         self._timeout = loop.call_later(_REQUEST_TIMEOUT_S, self._time_out)
         sock.setblocking(False)
@@ -172,6 +224,10 @@
         except OSError:
             self.close()
             return
+        if self._is_handling:
+            if not data:  # the caller may still read
+                asyncio.get_running_loop().remove_reader(self._sock)
+            return
         if self._has_responded:
             if not data:
                 self.close()
@@ -197,7 +253,10 @@
                     raise RequestRejectedError(413, "the body is too large")
             elif isinstance(event, h11.EndOfMessage):
                 assert self._request is not None
-                self._respond(self._handle(self._request))
+                self._is_handling = True
+                self._timeout.cancel()
+                self._timeout = asyncio.get_running_loop().call_later(_CHANGE_TIMEOUT_S, self._time_out)
+                self._handle(self._request, self._respond)
                 return
             elif isinstance(event, h11.ConnectionClosed):
                 self.close()
@@ -208,14 +267,19 @@
     def _time_out(self) -> None:
         if self._has_responded:
             self.close()
+        elif self._is_handling:
+            self._respond(Response(500, _NOT_STORED_BODY))
         else:
             self._respond(Response(408, _TIMEOUT_BODY))
 
     def _respond(self, response: Response) -> None:
-        """Respond and shut down the sending side.
+        """Respond and shut down the sending side; no effect if the connection was closed or has a response.
 
         A close with unread input would reset the connection, and the response would be lost.
         """
+        if self._has_responded or self not in self._connections:
+            return
+        self._is_handling = False
         body = f"{response.body}\n".encode()
         headers = [
             (b"Content-Type", b"text/plain"),
--- a/sidecar_balancer/persistence/persister.py
+++ b/sidecar_balancer/persistence/persister.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from dataclasses import dataclass
 from pathlib import Path
 
 from sidecar_balancer.lease.fencing import CommandVerb
@@ -19,6 +20,19 @@
 _MAX_TIER_SNAPSHOT_BYTES = 4 << 20
 
 
+@dataclass(frozen=True, slots=True)
+class CollectedState:
+    """The state of one moment.
+
+    Attributes:
+        records: The records by key.
+        snapshot_token: The fencing token to write the tier snapshot under; 0: it is not written.
+    """
+
+    records: dict[str, bytes]
+    snapshot_token: int
+
+
 class StatePersister:
     """Persists state in `store` and, while this sidecar holds the snapshot lease, in the tier's folder.
 
@@ -85,17 +99,39 @@
         transport: MembershipTransport | None,
         endpoint_list: EndpointListRecord | None,
     ) -> None:
-        """Write the changes since the last call; `now_us` is the time of the balancer's clock."""
+        """Collect and write the changes since the last call; `now_us` is the time of the balancer's clock."""
+        self.write(self.collect(balancer, now_us, transport, endpoint_list))
+
+    def collect(
+        self,
+        balancer: Balancer,
+        now_us: int,
+        transport: MembershipTransport | None,
+        endpoint_list: EndpointListRecord | None,
+    ) -> CollectedState:
+        """Return the state of this moment, encoded; `now_us` is the time of the balancer's clock."""
         records = state_records.encode(balancer, now_us, transport, endpoint_list)
+        return CollectedState(records, 0 if transport is None else self._snapshot_token(transport))
+
+    def _snapshot_token(self, transport: MembershipTransport) -> int:
+        """Return the fencing token if this sidecar holds the snapshot lease, else 0."""
+        token = transport.lease_token(TierLease.SNAPSHOT)
+        if self._tier_folder is None or not token:
+            return 0
+        is_issued = transport.issue_command(TierLease.SNAPSHOT, "", CommandVerb.SNAPSHOT_WRITTEN)
+        return token if is_issued else 0
+
+    def write(self, state: CollectedState) -> None:
+        """Write the changes since the last call; this waits for the disk."""
         for prefix in state_records.DELETED_WHEN_ABSENT:
             for key in self.store.keys(prefix):
-                if key not in records:
+                if key not in state.records:
                     self.store.put(key, None)
-        for key, value in records.items():
+        for key, value in state.records.items():
             self.store.put(key, value)
         self._flush()
-        if transport is not None:
-            self._persist_tier_snapshot(transport)
+        if state.snapshot_token:
+            self._write_tier_snapshot(state.snapshot_token)
 
     def _flush(self) -> None:
         try:
@@ -114,13 +150,9 @@
             )
         self._store_write_failed = True
 
-    def _persist_tier_snapshot(self, transport: MembershipTransport) -> None:
-        """Write the tier snapshot if this sidecar holds the snapshot lease."""
-        token = transport.lease_token(TierLease.SNAPSHOT)
-        if self._tier_folder is None or not token:
-            return
-        if not transport.issue_command(TierLease.SNAPSHOT, "", CommandVerb.SNAPSHOT_WRITTEN):
-            return
+    def _write_tier_snapshot(self, token: int) -> None:
+        """Write the tier snapshot under a fencing token."""
+        assert self._tier_folder is not None
         records = state_records.select_shared(self.store.records())
         try:
             written = tier_snapshot.write(self._tier_folder, token, records)
--- a/sidecar_balancer/program.py
+++ b/sidecar_balancer/program.py
@@ -13,12 +13,14 @@
 import os
 import signal
 import sys
+from functools import partial
 
 from sidecar_balancer.config.loading import read_config
 from sidecar_balancer.config.sidecar import SidecarConfig
 from sidecar_balancer.config.values import ConfigurationError
 from sidecar_balancer.downstream import acceptor, client_connection, response_connection
 from sidecar_balancer.observability.logs import LogRateLimiter, configure_logging
+from sidecar_balancer.runtime.background import Completion
 from sidecar_balancer.runtime.queueing import TimedLoop
 from sidecar_balancer.sidecar.sidecar import Sidecar
 
@@ -44,18 +46,24 @@
 
 
 def reload(sidecar: Sidecar) -> None:
-    """Read the configuration again and apply it; an invalid one changes nothing.
+    """Read the configuration again, off the event loop, and apply it; an invalid one changes nothing.
 
     RELAY_DISCOVERY still holds the address from startup, so a reload takes the address from the file.
     """
     environ = {name: value for name, value in os.environ.items() if name != "RELAY_DISCOVERY"}
+    sidecar.file_worker.start(partial(read_config, environ), partial(_apply_reload, sidecar))
+
+
+def _apply_reload(sidecar: Sidecar, completion: Completion[SidecarConfig]) -> None:
     try:
-        sidecar.reload(read_config(environ))
-    except ConfigurationError as error:
+        config = completion.get()
+    except (ConfigurationError, OSError) as error:
         _report_failed_reload(error)
+    else:
+        sidecar.reload(config)
 
 
-def _report_failed_reload(error: ConfigurationError) -> None:
+def _report_failed_reload(error: Exception) -> None:
     line = " ".join(str(error).split())
     log.error("bad configuration, keeping the previous one: %s", line, extra={"event": "reload_failed"})
 
--- a/sidecar_balancer/sidecar/sidecar.py
+++ b/sidecar_balancer/sidecar/sidecar.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
-from sidecar_balancer.admin.handlers import AdminHandlers
+from sidecar_balancer.admin.handlers import AdminHandlers, LoadedOverrides
 from sidecar_balancer.admin.overrides import OperatorOverrides
 from sidecar_balancer.admin.server import AdminServer
 from sidecar_balancer.config.sidecar import SidecarConfig
@@ -27,6 +27,7 @@
 from sidecar_balancer.policy.settings import DiscoveryMode
 from sidecar_balancer.policy.types import ListKind
 from sidecar_balancer.proxy.proxy import Proxy
+from sidecar_balancer.runtime.background import Completion, FileWorker
 from sidecar_balancer.runtime.engine import Engine
 from sidecar_balancer.runtime.memory_budget import MemoryBudget
 from sidecar_balancer.runtime.process_usage import RENEWAL_INTERVAL_S, UsageExchange
@@ -57,6 +58,7 @@
     """A sidecar: a balancer with its connections and subsystems.
 
     Attributes:
+        file_worker: Runs the operations on files, for which the event loop must not wait.
         engine: Runs the balancer and executes its actions.
         discovery: The client that watches the endpoint list.
         endpoint_pool: The connections to servers.
@@ -75,6 +77,7 @@
         """
         self._settings = settings = config.settings
         self._timers = Timers()
+        self.file_worker = FileWorker()
         self.engine = Engine(settings, config.seed, self._timers)
         memory_budget = MemoryBudget(config.memory_mb)
         # The limit applies to client connections and to server connections separately.
@@ -108,7 +111,7 @@
         )
         self._is_takeover = config.inherited_listener_fd is not None
         self._membership = create_membership(config, self.engine)
-        self._state_persistence = create_state_persistence(config)
+        self._state_persistence = create_state_persistence(config, self.file_worker)
         self._initial_endpoints = config.initial_endpoints
         self._endpoints_received = asyncio.Event()  # set when discovery has sent an endpoint list
         self.endpoint_updates = EndpointUpdates(
@@ -121,6 +124,7 @@
             self.endpoint_pool,
             self.discovery,
             OperatorOverrides(config.overrides_folder),
+            self.file_worker,
             self._membership,
             latencies,
         )
@@ -142,7 +146,7 @@
     def _create_admin_server(self, config: SidecarConfig) -> AdminServer | None:
         if config.admin_address is None:
             return None
-        return AdminServer(config.admin_address, self.admin_handlers.routes())
+        return AdminServer(config.admin_address, self.admin_handlers.routes(), self.file_worker)
 
     # -- From start to shutdown
 
@@ -176,10 +180,13 @@
         self._timers.call_every(RENEWAL_INTERVAL_S, self._limit_sharing.refresh)
         if self.admin_server is not None:
             # Applied before the first request, because overrides outlast the process that accepted them.
-            self._timers.call_every(_OVERRIDES_POLL_INTERVAL_S, self.admin_handlers.apply_stored_overrides)
+            await self._apply_stored_overrides()
+            self._timers.call_every(_OVERRIDES_POLL_INTERVAL_S, self.admin_handlers.poll_overrides)
             self.admin_server.start()
         if self._state_persistence is not None:
-            self._initial_endpoints = self._state_persistence.restore(self.discovery, self._initial_endpoints)
+            self._initial_endpoints = await self._state_persistence.restore(
+                self.discovery, self._initial_endpoints
+            )
         if self._membership is not None:
             await self._membership.start(self._on_membership_bound)
         if not self._endpoints_received.is_set():  # a reload may have fetched a list already
@@ -195,6 +202,16 @@
             self.frontend.start()
             self.admin_handlers.lifecycle.accepts_clients = True
 
+    async def _apply_stored_overrides(self) -> None:
+        applied = asyncio.Event()
+
+        def apply(completion: Completion[LoadedOverrides]) -> None:
+            applied.set()
+            self.admin_handlers.apply_overrides(completion)
+
+        self.file_worker.start(self.admin_handlers.load_overrides, apply)
+        await applied.wait()
+
     async def _close(self) -> None:
         """Close all sockets and cancel all timers, even if requests are still in flight."""
         self.frontend.stop_listening(accept_pending=False)
@@ -202,6 +219,7 @@
         await self.discovery.close()
         await self.endpoint_pool.close()
         self._timers.close()
+        self.file_worker.close()
         self._request_ids.close()
         self._limit_sharing.close()
         self._resident_memory.close()
