--- a/tests/support/sidecar_process.py
+++ b/tests/support/sidecar_process.py
@@ -138,6 +138,7 @@
         config_changes: Keys of the configuration that replace the usual ones.
         program: The words of the command in place of the module `sidecar_balancer`; empty: the module.
         log_pipe: The descriptor for the processes' standard error; None: a file in the folder.
+        inherits_listener: Whether the processes share a listening socket of this one; else each has its own.
     """
 
     def __init__(self, folder: Path, memory_mb: int, sockets: int) -> None:
@@ -152,6 +153,7 @@
         self.config_changes: dict[str, Any] = {}
         self.program: list[str] = []
         self.log_pipe: int | None = None
+        self.inherits_listener = True
         self._listener = socket.socket()
         self._admin_host = new_host()
 
@@ -159,9 +161,12 @@
         """Start the servers and the first process, and wait until it is ready."""
         for server in self.servers:
             await server.start()
-        self._listener.bind((new_host(), 0))
-        self._listener.listen(512)
-        self.address = self._listener.getsockname()
+        if self.inherits_listener:
+            self._listener.bind((new_host(), 0))
+            self._listener.listen(512)
+            self.address = self._listener.getsockname()
+        else:
+            self.address = free_addresses(new_host(), 1)[0]
         await self.start_process()
 
     async def start_process(self) -> asyncio.subprocess.Process:
@@ -175,7 +180,8 @@
         temporary.mkdir(exist_ok=True)
         environ = {name: value for name, value in os.environ.items() if not name.startswith("RELAY_")}
         environ |= {"RELAY_CONFIG": str(path), "TMPDIR": str(temporary)}
-        environ |= {"RELAY_ACCEPT_FD": str(self._listener.fileno())}
+        if self.inherits_listener:
+            environ["RELAY_ACCEPT_FD"] = str(self._listener.fileno())
         with (self.folder / f"log{number}").open("wb") as log:
             process = await asyncio.create_subprocess_exec(
                 *self._command(),
@@ -282,12 +288,14 @@
     settings: dict[str, Any] = SETTINGS,
     program: list[str] | None = None,
     log_pipe: int | None = None,
+    inherits_listener: bool = True,
     **config_changes: Any,
 ) -> AsyncIterator[SidecarProcess]:
     """Run a sidecar process with these limits; end it on exit."""
     sidecar = SidecarProcess(folder, memory_mb, sockets)
     sidecar.settings, sidecar.config_changes = settings, config_changes
     sidecar.program, sidecar.log_pipe = program or [], log_pipe
+    sidecar.inherits_listener = inherits_listener
     try:
         await sidecar.open()
         yield sidecar
