--- a/tests/support/cpu_share.py
+++ b/tests/support/cpu_share.py
@@ -14,15 +14,17 @@
 
 @contextlib.contextmanager
 def cpu_share(pid: int, share: float) -> Iterator[None]:
-    """Let a process that this one has started run for `share` of each period."""
+    """Let a process that this one has started run for `share` of each period, until it ends."""
     is_over = threading.Event()
+    process = os.pidfd_open(pid)  # never names another process that gets the same number later
 
     def throttle() -> None:
-        while not is_over.is_set():
-            time.sleep(share * _PERIOD_S)
-            os.kill(pid, signal.SIGSTOP)
-            time.sleep((1.0 - share) * _PERIOD_S)
-            os.kill(pid, signal.SIGCONT)
+        with contextlib.suppress(ProcessLookupError):
+            while not is_over.is_set():
+                time.sleep(share * _PERIOD_S)
+                signal.pidfd_send_signal(process, signal.SIGSTOP)
+                time.sleep((1.0 - share) * _PERIOD_S)
+                signal.pidfd_send_signal(process, signal.SIGCONT)
 
     thread = threading.Thread(target=throttle)
     if share < 1.0:
@@ -33,3 +35,4 @@
         is_over.set()
         if share < 1.0:
             thread.join()
+        os.close(process)
