Log waits for turns, ends of connections within a request, and the CPU of a late loop

Change: connection_ended_within_request tells the port, the phase of the request and the bytes that were not parsed; the state line tells how many calls wait for a turn and the longest wait; event_loop_lag tells the CPU in the time.

--- a/sidecar_balancer/downstream/client_connection.py
+++ b/sidecar_balancer/downstream/client_connection.py
@@ -21,7 +21,7 @@
     check_framing,
     parse_request,
 )
-from sidecar_balancer.downstream.request_phase import RequestPhase
+from sidecar_balancer.downstream.request_phase import RequestPhase, request_phase
 from sidecar_balancer.downstream.response_connection import ConnectionContext
 from sidecar_balancer.downstream.upload_connection import UploadConnection
 from sidecar_balancer.runtime.errors import RequestError
@@ -81,8 +81,9 @@
         self._owner.connection_opened(self)
         self._start_request_timer()
 
-    def connection_lost(self, _exc: Exception | None) -> None:
+    def connection_lost(self, exc: Exception | None) -> None:
         """Release everything that the connection holds."""
+        self._log_unanswered_input(exc)
         self._client_events.file_descriptors.discard(self._file_descriptor)
         self._owner.connection_closed(self)
         self._stop_timer()
@@ -93,6 +94,18 @@
         self._input.clear()
         self._update_charge()
 
+    def _log_unanswered_input(self, exc: Exception | None) -> None:
+        """Log a connection that ends with input that no response covers; its request shows in other lines."""
+        if self._linger_deadline is None and self._request is None and self._is_partly_received():
+            log.info(
+                "connection from port %d ended while its request was %s, with %d bytes unparsed: %s",
+                self._port,
+                request_phase(self._h11).value,
+                len(self._input),
+                exc or "closed",
+                extra={"event": "connection_ended_within_request"},
+            )
+
     def eof_received(self) -> bool:
         """Let the transport close: a client that ends its sending side counts as disconnected."""
         return False
--- a/sidecar_balancer/runtime/turns.py
+++ b/sidecar_balancer/runtime/turns.py
@@ -6,25 +6,46 @@
 import selectors
 from collections import deque
 from collections.abc import Callable
+from typing import NamedTuple
 
 _MAX_CALLS_PER_TURN = 8
 _MAX_CLIENT_EVENTS_PER_TURN = 16
 Events = list[tuple[selectors.SelectorKey, int]]
 
 
+class WaitingCall(NamedTuple):
+    """A call that waits for its turn since a time on the event loop's clock."""
+
+    callback: Callable[[], None]
+    since: float
+
+
 class TurnQueue:
-    """Calls that continue longer work; a few of them run in each turn of the event loop, in their order."""
+    """Calls that continue longer work; a few of them run in each turn of the event loop, in their order.
+
+    Attributes:
+        longest_wait_s: The longest time that a call has waited since this was last taken, in seconds.
+    """
 
     def __init__(self) -> None:
         """Start empty."""
-        self._calls: deque[Callable[[], None]] = deque()
+        self._calls: deque[WaitingCall] = deque()
         self._is_scheduled = False
+        self.longest_wait_s = 0.0
+
+    def __len__(self) -> int:
+        return len(self._calls)
 
     def call_soon(self, callback: Callable[[], None]) -> None:
         """Call in one of the next turns."""
-        self._calls.append(callback)
+        self._calls.append(WaitingCall(callback, asyncio.get_running_loop().time()))
         self._schedule()
 
+    def take_longest_wait_s(self) -> float:
+        """Return the longest wait since the last call of this method, in seconds."""
+        longest_wait_s, self.longest_wait_s = self.longest_wait_s, 0.0
+        return longest_wait_s
+
     def _schedule(self) -> None:
         if not self._is_scheduled:
             self._is_scheduled = True
@@ -32,9 +53,12 @@
 
     def _run(self) -> None:
         self._is_scheduled = False
+        now = asyncio.get_running_loop().time()
         try:
             for _ in range(min(_MAX_CALLS_PER_TURN, len(self._calls))):
-                self._calls.popleft()()
+                callback, since = self._calls.popleft()
+                self.longest_wait_s = max(self.longest_wait_s, now - since)
+                callback()
         finally:
             if self._calls:
                 self._schedule()
--- a/sidecar_balancer/sidecar/status_log.py
+++ b/sidecar_balancer/sidecar/status_log.py
@@ -12,6 +12,7 @@
 from sidecar_balancer.policy.balancer import Balancer
 from sidecar_balancer.proxy.proxy import Proxy, count_by_status
 from sidecar_balancer.runtime.resident_memory import ResidentMemory
+from sidecar_balancer.runtime.turns import running_turn_queue
 from sidecar_balancer.upstream.endpoint_pool import EndpointPool
 
 log = logging.getLogger(__name__)
@@ -47,11 +48,20 @@
         logged_at = loop.time()
         while True:
             due_at = loop.time() + _LAG_CHECK_INTERVAL_S
+            cpu_before_s = time.process_time()
             await asyncio.sleep(_LAG_CHECK_INTERVAL_S)
             lag_s = loop.time() - due_at
             if lag_s > _LAG_WARNING_S:
+                # Less CPU than lag shows that the process waited: for a core, or in a call that blocks.
+                cpu_s = time.process_time() - cpu_before_s
                 extra = {"event": "event_loop_lag"}
-                log.warning("the event loop was %.0f ms late", lag_s * 1000, extra=extra)
+                log.warning(
+                    "the event loop was %.0f ms late, with %.0f ms of CPU in %.0f ms",
+                    lag_s * 1000,
+                    cpu_s * 1000,
+                    (_LAG_CHECK_INTERVAL_S + lag_s) * 1000,
+                    extra=extra,
+                )
             if loop.time() >= logged_at + _STATE_INTERVAL_S:
                 logged_at = loop.time()
                 self._log_state()
@@ -64,11 +74,13 @@
             return
         self._logged_response_counts = self._proxy.response_counts.copy()
         memory_budget = self._frontend.memory_budget
+        turn_queue = running_turn_queue()
         cpu_s = time.process_time() - self._logged_cpu_s
         self._logged_cpu_s += cpu_s
         log.info(
             "responses %s; %d client connections, %d in flight, %d server connections, %.2f s of CPU; "
-            "peers hold %d of %d KiB, %.1f MiB resident, %d connections evicted, %d refused; %s",
+            "peers hold %d of %d KiB, %.1f MiB resident, %d connections evicted, %d refused; "
+            "%d calls wait for a turn, %.0f ms at most; %s",
             ", ".join(f"{count} x {status}" for status, count in new_responses.items()),
             len(self._frontend.connections),
             len(self._proxy.by_client_request),
@@ -79,6 +91,8 @@
             self._resident_memory.read() / 2**20,
             self._frontend.evictions,
             self._frontend.refusals,
+            len(turn_queue),
+            turn_queue.take_longest_wait_s() * 1000,
             state_summary(self._balancer),
             extra={"event": "state", "answered": new_responses},
         )
--- a/tests/downstream/test_client_connection.py
+++ b/tests/downstream/test_client_connection.py
@@ -192,3 +192,33 @@
             assert (await environment.send_request())[0] == 200
 
     run_scenario(scenario())
+
+
+def test_a_connection_that_ends_within_a_request_is_logged_with_its_phase(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async def scenario() -> None:
+        async with running_sidecar(served) as environment:
+            for sent, phase in (
+                (b"GET /api/1 HT", "awaited"),
+                (request("pay", body=b"xyz")[:-1], "receiving"),
+            ):
+                _, writer = await asyncio.open_connection(*environment.sidecar.frontend.address)
+                writer.write(sent)
+                await wait_until(
+                    lambda: any(
+                        each._is_partly_received() for each in environment.sidecar.frontend.connections
+                    )
+                )
+                await asyncio.sleep(0.05)
+                writer.close()
+                await wait_until(lambda: not environment.sidecar.frontend.connections)
+                events = [
+                    each.getMessage()
+                    for each in caplog.records
+                    if vars(each).get("event") == "connection_ended_within_request"
+                ]
+                assert f"was {phase}" in events[-1]
+
+    caplog.set_level("INFO")
+    run_scenario(scenario())
--- a/tests/runtime/test_turns.py
+++ b/tests/runtime/test_turns.py
@@ -70,3 +70,21 @@
 
     asyncio.run(scenario())
     assert called == list(range(20))
+
+
+def test_the_longest_wait_for_a_turn_is_told_once() -> None:
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        queue = TurnQueue()
+        for _ in range(9):
+            queue.call_soon(lambda: None)
+        started_at = loop.time()
+        while loop.time() < started_at + 0.02:
+            pass
+        assert len(queue) == 9
+        while queue:  # noqa: ASYNC110  # each turn runs some
+            await asyncio.sleep(0)
+        assert queue.take_longest_wait_s() >= 0.02
+        assert queue.take_longest_wait_s() == 0.0
+
+    asyncio.run(scenario())
