--- a/sidecar_balancer/observability/background_log.py
+++ b/sidecar_balancer/observability/background_log.py
@@ -6,8 +6,8 @@
 
 from sidecar_balancer.runtime.background import BackgroundThread
 
-_MAX_WAITING_LINES = 256
-_EXIT_TIMEOUT_S = 0.2
+MAX_WAITING_LINES = 256
+EXIT_TIMEOUT_S = 0.2
 
 
 class BackgroundHandler(logging.Handler):
@@ -20,7 +20,7 @@
         """Write through `handler`."""
         super().__init__()
         self._handler = handler
-        self._thread = BackgroundThread("log", _MAX_WAITING_LINES)
+        self._thread = BackgroundThread("log", MAX_WAITING_LINES)
         self._dropped = 0
 
     def emit(self, record: logging.LogRecord) -> None:
@@ -32,4 +32,4 @@
 
     def flush(self) -> None:
         """Wait a short time for the lines that were passed on; called at the exit."""
-        self._thread.wait_until_done(_EXIT_TIMEOUT_S)
+        self._thread.wait_until_done(EXIT_TIMEOUT_S)
--- a/sidecar_balancer/runtime/background.py
+++ b/sidecar_balancer/runtime/background.py
@@ -44,7 +44,8 @@
     def wait_until_done(self, timeout_s: float) -> None:
         """Block until the calls submitted so far have been run, or the timeout has passed."""
         done = threading.Event()
-        if self._thread is not None and self.submit(done.set):
+        if self._thread is not None:
+            self._calls.put(done.set)
             done.wait(timeout_s)
 
 
--- a/tests/downstream/test_client_connection.py
+++ b/tests/downstream/test_client_connection.py
@@ -210,7 +210,6 @@
                         each._is_partly_received() for each in environment.sidecar.frontend.connections
                     )
                 )
-                await asyncio.sleep(0.05)
                 writer.close()
                 await wait_until(lambda: not environment.sidecar.frontend.connections)
                 events = [
