Share the clients' connection between tests, and name acquire and pop in the field's terms

Two test modules had the same connection and limits, and one the same five lines four times. No change of behavior.

--- a/sidecar_balancer/runtime/shared_file.py
+++ b/sidecar_balancer/runtime/shared_file.py
@@ -34,7 +34,7 @@
     """
 
     def __init__(self, path: Path, region_bytes: int) -> None:
-        """Map the file at `path`, which is created if needed, and take a free region.
+        """Map the file at `path`, which is created if needed, and acquire a free region.
 
         Raises:
             OSError: If the file can't be written or mapped, or has no free region.
@@ -45,7 +45,7 @@
             size = _HEADER_BYTES + MAX_REGIONS * region_bytes
             if os.fstat(self._file).st_size < size:
                 os.ftruncate(self._file, size)
-            self._own_number = self._take_region()
+            self._own_number = self._acquire_region()
             # The space is allocated now, as a write to the mapping could not report that there is none.
             os.posix_fallocate(self._file, 0, _HEADER_BYTES)
             os.posix_fallocate(self._file, self._start_of(self._own_number), region_bytes)
@@ -58,7 +58,7 @@
         self._view[self._own_number] = _EVER_OWNED
         self.own = self._regions[self._own_number]
 
-    def _take_region(self) -> int:
+    def _acquire_region(self) -> int:
         for number in range(MAX_REGIONS):
             lock = _LOCK.pack(fcntl.F_WRLCK, os.SEEK_SET, number, 1, 0)
             try:
--- a/sidecar_balancer/runtime/turns.py
+++ b/sidecar_balancer/runtime/turns.py
@@ -24,7 +24,7 @@
     """Calls that continue longer work; a few of them run in each turn of the event loop, in their order.
 
     Attributes:
-        longest_wait_s: The longest time that a call has waited since this was last taken, in seconds.
+        longest_wait_s: The longest time that a call has waited since this was last read, in seconds.
     """
 
     def __init__(self) -> None:
@@ -41,7 +41,7 @@
         self._calls.append(WaitingCall(callback, asyncio.get_running_loop().time()))
         self._schedule()
 
-    def take_longest_wait_s(self) -> float:
+    def pop_longest_wait_s(self) -> float:
         """Return the longest wait since the last call of this method, in seconds."""
         longest_wait_s, self.longest_wait_s = self.longest_wait_s, 0.0
         return longest_wait_s
--- a/sidecar_balancer/sidecar/status_log.py
+++ b/sidecar_balancer/sidecar/status_log.py
@@ -92,7 +92,7 @@
             self._frontend.evictions,
             self._frontend.refusals,
             len(turn_queue),
-            turn_queue.take_longest_wait_s() * 1000,
+            turn_queue.pop_longest_wait_s() * 1000,
             state_summary(self._balancer),
             extra={"event": "state", "answered": new_responses},
         )
--- a/tests/downstream/test_next_request.py
+++ b/tests/downstream/test_next_request.py
@@ -59,8 +59,10 @@
     return reader, writer, connection
 
 
-async def wait_until_read(connection: ClientConnection) -> None:
+async def send_and_wait_until_read(connection: ClientConnection, writer: Writer, data: bytes) -> None:
+    await asyncio.sleep(0.01)  # the virtual clock tells this input from that before
     received = connection._deadline.last_input_at
+    writer.write(data)
     await wait_until(
         lambda: connection._deadline.last_input_at > received and has_no_unread_input(connection._sock)
     )
@@ -77,10 +79,7 @@
             reader, writer, connection = await answered_client(environment)
             size = -(-len(data) // pieces)
             for start in range(0, len(data), size):
-                reading = asyncio.create_task(wait_until_read(connection))
-                await asyncio.sleep(0.01)
-                writer.write(data[start : start + size])
-                await reading
+                await send_and_wait_until_read(connection, writer, data[start : start + size])
             running = asyncio.create_task(keep_running(turns))
             for _ in range(data.count(b"GET ")):
                 assert (await read_response(reader))[0] == 200
@@ -98,10 +97,7 @@
         async with running_sidecar(served, graceful_shutdown=True) as environment:
             turns = hold_turns()
             _, writer, connection = await answered_client(environment)
-            reading = asyncio.create_task(wait_until_read(connection))
-            await asyncio.sleep(0.01)
-            writer.write(NEXT)
-            await reading
+            await send_and_wait_until_read(connection, writer, NEXT)
             now = asyncio.get_running_loop().time()
             assert not connection.is_idle()
             assert connection.eviction_class(now + 10.0) is EvictionClass.BUSY
@@ -123,10 +119,7 @@
         async with running_sidecar(served, graceful_shutdown=True) as environment:
             turns = hold_turns()
             reader, writer, connection = await answered_client(environment)
-            reading = asyncio.create_task(wait_until_read(connection))
-            await asyncio.sleep(0.01)
-            writer.write(NEXT)
-            await reading
+            await send_and_wait_until_read(connection, writer, NEXT)
             environment.stop.set()
             await asyncio.sleep(0.7)
             running = asyncio.create_task(keep_running(turns))
@@ -145,10 +138,7 @@
         async with running_sidecar(served, graceful_shutdown=True) as environment:
             turns = hold_turns()
             _, writer, connection = await answered_client(environment)
-            reading = asyncio.create_task(wait_until_read(connection))
-            await asyncio.sleep(0.01)
-            writer.write(NEXT)
-            await reading
+            await send_and_wait_until_read(connection, writer, NEXT)
             writer.close()
             await wait_until(lambda: not environment.sidecar.frontend.connections)
             turns.run()
--- a/tests/faults/test_soak.py
+++ b/tests/faults/test_soak.py
@@ -21,8 +21,9 @@
 from flooding_clients import FLOODS, flooding_clients
 from harness import run_scenario
 from misbehaving_clients import STATES, crowd
+from paced_clients import MAX_LATENESS_S
 from sidecar_process import SETTINGS, MemoryUse, SidecarProcess, running_process
-from soak_clients import MAX_LATENESS_S, SoakClients, SoakRequest
+from soak_clients import SoakClients, SoakRequest
 
 FIRST_SEED, LAST_SEED = map(int, os.environ.get("FAULT_SOAK_SEEDS", "1-8").split("-"))
 SLOW_FILES = str(Path(__file__).parent.parent / "support" / "slow_files.py")
--- a/tests/runtime/test_turns.py
+++ b/tests/runtime/test_turns.py
@@ -84,7 +84,7 @@
         assert len(queue) == 9
         while queue:  # noqa: ASYNC110  # each turn runs some
             await asyncio.sleep(0)
-        assert queue.take_longest_wait_s() >= 0.02
-        assert queue.take_longest_wait_s() == 0.0
+        assert queue.pop_longest_wait_s() >= 0.02
+        assert queue.pop_longest_wait_s() == 0.0
 
     asyncio.run(scenario())
--- a/tests/support/soak_clients.py
+++ b/tests/support/soak_clients.py
@@ -7,25 +7,15 @@
 import random
 from collections import Counter
 from dataclasses import dataclass, field
-from typing import NamedTuple
 
 from loopback import new_request_id, read_message, request
-from raw_server import Reader, Writer
+from paced_clients import GIVE_UP_S, Connection
 from sidecar_balancer.addresses import Address
 
-MAX_LATENESS_S = 0.55  # half a second, and 0.05 s for the clients' own process
-GIVE_UP_S = 4.0
 LEAVE_RATIO = 0.1  # part of the requests whose client leaves before the answer
 HANG_RATIO = 0.1  # part of the requests that their server never answers
 CLASSES = ("look", "look", "pay", "amend")
-_PATHS_OF_HUNG = "/api/hang"
-
-
-class Connection(NamedTuple):
-    """A client's connection."""
-
-    reader: Reader
-    writer: Writer
+_HUNG_PATH = "/api/hang"
 
 
 @dataclass
@@ -92,7 +82,7 @@
         budget_s = rng.uniform(0.076, self.longest_budget_s)
         leaves_after_s = budget_s * rng.random() if rng.random() < LEAVE_RATIO else None
         sent = SoakRequest(new_request_id(), rng.choice(CLASSES), budget_s, leaves_after_s)
-        path = _PATHS_OF_HUNG if rng.random() < HANG_RATIO else "/api/ok"
+        path = _HUNG_PATH if rng.random() < HANG_RATIO else "/api/ok"
         is_kept = rng.random() < 0.7
         connection = self._take_kept() if is_kept else None
         if connection is None and not self.opens_connections:
