End the thread for files with its sidecar

Cause: the worker's thread waited for calls for as long as the process ran, one for each sidecar of a test run.

Change: closing the worker ends its thread after the operations that were started; later ones are not started.

--- a/sidecar_balancer/runtime/background.py
+++ b/sidecar_balancer/runtime/background.py
@@ -24,7 +24,9 @@
         """Let `max_waiting` calls wait at most."""
         self._name = name
         self._max_waiting = max_waiting
-        self._calls: queue.SimpleQueue[Callable[[], object]] = queue.SimpleQueue()
+        self._calls: queue.SimpleQueue[Callable[[], object] | None] = (
+            queue.SimpleQueue()
+        )  # None ends the thread
         self._thread: threading.Thread | None = None
 
     def submit(self, call: Callable[[], object]) -> bool:
@@ -38,8 +40,8 @@
         return True
 
     def _run(self) -> None:
-        while True:
-            self._calls.get()()
+        while (call := self._calls.get()) is not None:
+            call()
 
     def wait_until_done(self, timeout_s: float) -> None:
         """Block until the calls submitted so far have been run, or the timeout has passed."""
@@ -48,6 +50,11 @@
             self._calls.put(done.set)
             done.wait(timeout_s)
 
+    def close(self) -> None:
+        """End the thread after the calls submitted so far; submit no further ones."""
+        if self._thread is not None:
+            self._calls.put(None)
+
 
 class FileOperationRejectedError(OSError):
     """Too many file operations wait for a slow disk."""
@@ -81,6 +88,8 @@
 
     def start(self, operation: Callable[[], T], on_done: OnDone[T]) -> None:
         """Start an operation; `on_done` is called once, on the event loop, unless the worker is closed."""
+        if self._is_closed:
+            return
         loop = asyncio.get_running_loop()
         if not self._thread.submit(partial(self._run, operation, on_done, loop)):
             error = FileOperationRejectedError("the disk is too slow")
@@ -105,8 +114,9 @@
         return (await done).get()
 
     def close(self) -> None:
-        """Report no further ends of operations."""
+        """Report no further ends of operations; those that were started still run."""
         self._is_closed = True
+        self._thread.close()
 
 
 def _resolve(done: asyncio.Future[Completion[T]], completion: Completion[T]) -> None:
--- a/tests/runtime/test_background.py
+++ b/tests/runtime/test_background.py
@@ -48,6 +48,7 @@
             worker.start(partial(operate, number), on_done)
         assert await worker.run(partial(operate, 10)) == 10
         assert ended == list(range(10))
+        worker.close()
         assert threading.main_thread() not in ran_in
 
     run_scenario(scenario())
@@ -64,6 +65,7 @@
         assert not running.done()
         may_end.set()
         await running
+        worker.close()
 
     run_scenario(scenario())
 
@@ -73,8 +75,10 @@
         raise PermissionError("read-only")
 
     async def scenario() -> None:
+        worker = FileWorker()
         with pytest.raises(PermissionError, match="read-only"):
-            await FileWorker().run(fail)
+            await worker.run(fail)
+        worker.close()
 
     run_scenario(scenario())
 
@@ -95,11 +99,12 @@
             await waiting[2]
         may_end.set()
         assert await asyncio.gather(first, *waiting[:2]) == [None, "ran", "ran"]
+        worker.close()
 
     run_scenario(scenario())
 
 
-def test_a_closed_worker_reports_no_end() -> None:
+def test_a_closed_worker_reports_no_end_and_its_thread_ends() -> None:
     async def scenario() -> None:
         worker = FileWorker()
         ended: list[Completion[None]] = []
@@ -107,8 +112,13 @@
         worker.start(wait, ended.append)
         assert has_begun.wait(WAIT_TIMEOUT_S)
         worker.close()
+        worker.start(wait, ended.append)
         may_end.set()
-        await asyncio.sleep(0.05)
+        thread = worker._thread._thread
+        assert thread is not None
+        thread.join(WAIT_TIMEOUT_S)
+        assert not thread.is_alive()
+        await asyncio.sleep(0)
         assert not ended
 
     run_scenario(scenario())
