--- a/sidecar_balancer/downstream/acceptor.py
+++ b/sidecar_balancer/downstream/acceptor.py
@@ -84,6 +84,10 @@
         self._is_accepting = False
         asyncio.get_running_loop().remove_reader(self._sock)
 
+    def has_waiting_connections(self) -> bool:
+        """Return whether connections wait to be accepted."""
+        return self._sock.fileno() >= 0 and is_readable(self._sock)
+
     def close(self, accept_pending: bool) -> None:
         """Stop listening; with `accept_pending`, first accept all waiting connections.
 
--- a/sidecar_balancer/downstream/frontend.py
+++ b/sidecar_balancer/downstream/frontend.py
@@ -215,6 +215,10 @@
         if self._idle_close_timer is not None:
             self._idle_close_timer.cancel()
 
+    def has_waiting_connections(self) -> bool:
+        """Return whether connections wait to be accepted."""
+        return self._acceptor.has_waiting_connections()
+
     def stop_listening(self, accept_pending: bool = True) -> None:
         """Stop listening; with `accept_pending`, first accept all waiting connections."""
         self._acceptor.close(accept_pending)
--- a/tests/runtime/test_shutdown.py
+++ b/tests/runtime/test_shutdown.py
@@ -104,6 +104,32 @@
     on_virtual_clock(scenario())
 
 
+# Guards against requests that are reset in the kernel's queue when the listening socket closes.
+def test_requests_that_wait_for_capacity_during_a_shutdown_are_answered(
+    on_virtual_clock: RunScenario,
+) -> None:
+    async def scenario() -> None:
+        classes = [IDEMPOTENT | {"deadline_us": 2 * S}]
+        async with running_sidecar(hung, sockets=72, classes=classes) as environment:
+            assert environment.sidecar.frontend.max_connections == 4
+            clients = [RawClient(environment) for _ in range(4)]
+            for client in clients:
+                client.send(request(budget="1.5"))
+            await wait_until(lambda: len(environment.sidecar.proxy.in_flight) == 4)
+            environment.stop.set()
+            await asyncio.sleep(0.3)
+            waiting = [RawClient(environment) for _ in range(6)]
+            for client in waiting:
+                client.send(request(budget="1.0"))
+            await wait_until(lambda: environment.sidecar._timers._is_closed)
+            assert_nothing_pending(environment.sidecar)
+            for client in (*clients, *waiting):
+                assert client.sock.recv(10_000).startswith(b"HTTP/1.1 50")
+                client.sock.close()
+
+    on_virtual_clock(scenario())
+
+
 def test_idle_connections_do_not_delay_the_shutdown(on_virtual_clock: RunScenario) -> None:
     async def scenario() -> None:
         async with running_sidecar(served) as environment:
