--- a/sidecar_balancer/runtime/memory_budget.py
+++ b/sidecar_balancer/runtime/memory_budget.py
@@ -19,7 +19,7 @@
 _BUFFERS_PER_STREAM = 4  # the data read, parsed and waiting to be written, and copies between these stages
 _STREAM_SHARE = 8  # part of the memory limit for streams
 _DEFAULT_MEMORY_MB = 64
-PROGRAM_BYTES = 21 * 1024 * 1024  # resident memory of a sidecar without connections
+PROGRAM_BYTES = 22_500 * 1024  # resident memory of a sidecar without connections
 _USABLE_RATIO = 0.5  # the rest is for fragmentation, and for objects that live for one turn of the event loop
 _MIN_TOTAL_BYTES = 1024 * 1024
 
