--- a/sidecar_balancer/runtime/background.py
+++ b/sidecar_balancer/runtime/background.py
@@ -4,15 +4,12 @@
 
 import asyncio
 import contextlib
-import logging
 import queue
 import threading
 from collections.abc import Callable
 from functools import partial
 from typing import Generic, TypeVar
 
-log = logging.getLogger(__name__)
-
 _MAX_WAITING_FILE_OPERATIONS = 64
 T = TypeVar("T")
 
@@ -24,9 +21,8 @@
         """Let `max_waiting` calls wait at most."""
         self._name = name
         self._max_waiting = max_waiting
-        self._calls: queue.SimpleQueue[Callable[[], object] | None] = (
-            queue.SimpleQueue()
-        )  # None ends the thread
+        # None ends the thread.
+        self._calls: queue.SimpleQueue[Callable[[], object] | None] = queue.SimpleQueue()
         self._thread: threading.Thread | None = None
 
     def submit(self, call: Callable[[], object]) -> bool:
--- a/tests/downstream/test_next_request.py
+++ b/tests/downstream/test_next_request.py
@@ -68,6 +68,16 @@
     )
 
 
+async def client_with_request_read(
+    environment: SidecarEnvironment,
+) -> tuple[HeldTurns, Reader, Writer, ClientConnection]:
+    """Hold the turns, and return a client whose next request was read before its connection's turn."""
+    turns = hold_turns()
+    reader, writer, connection = await answered_client(environment)
+    await send_and_wait_until_read(connection, writer, NEXT)
+    return turns, reader, writer, connection
+
+
 @pytest.mark.parametrize("data", [NEXT, PIPELINED], ids=["one", "two"])
 @pytest.mark.parametrize("pieces", [1, 3])
 def test_a_request_read_before_its_turn_is_answered(
@@ -95,9 +105,7 @@
 ) -> None:
     async def scenario() -> None:
         async with running_sidecar(served, graceful_shutdown=True) as environment:
-            turns = hold_turns()
-            _, writer, connection = await answered_client(environment)
-            await send_and_wait_until_read(connection, writer, NEXT)
+            turns, _, writer, connection = await client_with_request_read(environment)
             now = asyncio.get_running_loop().time()
             assert not connection.is_idle()
             assert connection.eviction_class(now + 10.0) is EvictionClass.BUSY
@@ -117,9 +125,7 @@
 def test_a_shutdown_answers_a_request_read_before_its_turn(on_virtual_clock: RunScenario) -> None:
     async def scenario() -> None:
         async with running_sidecar(served, graceful_shutdown=True) as environment:
-            turns = hold_turns()
-            reader, writer, connection = await answered_client(environment)
-            await send_and_wait_until_read(connection, writer, NEXT)
+            turns, reader, writer, _ = await client_with_request_read(environment)
             environment.stop.set()
             await asyncio.sleep(0.7)
             running = asyncio.create_task(keep_running(turns))
@@ -136,9 +142,7 @@
 ) -> None:
     async def scenario() -> None:
         async with running_sidecar(served, graceful_shutdown=True) as environment:
-            turns = hold_turns()
-            _, writer, connection = await answered_client(environment)
-            await send_and_wait_until_read(connection, writer, NEXT)
+            turns, _, writer, _ = await client_with_request_read(environment)
             writer.close()
             await wait_until(lambda: not environment.sidecar.frontend.connections)
             turns.run()
